--- /dev/null
+++ b/libraries/core/include/almondcart/core/event_journal.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <almondcart/core/identifiers.hpp>
+
+#include <json/json.h>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace almondcart {
+
+/// Event of the time line.
+struct event
+{
+    std::uint64_t sequence = 0;     ///< position in the process's journal, starting at 1
+    std::uint64_t logical_time = 0; ///< Lamport time, orders events of several processes causally
+    std::int64_t wall_time_ms = 0;  ///< wall clock of the VM, for display only
+    std::string part;               ///< part of the system, for example "budget"
+    std::string name;               ///< what happened, for example "grant_closed"
+    std::string request;            ///< request id text, or empty
+    std::string budget;             ///< budget id text, or empty
+    std::string upstream;           ///< upstream name, or empty
+    std::string detail;             ///< short sentence without prompt text or keys
+};
+
+/// Recent events of one process, in bounded memory. Each message between processes carries the
+/// sender's logical time; the receiver passes it to `observe`, so that an effect never sorts before
+/// its cause.
+class event_journal
+{
+public:
+    static constexpr std::size_t default_capacity = 4096;
+
+    event_journal(
+        process_id process,
+        std::function<std::int64_t()> wall_time_ms,
+        std::size_t capacity = default_capacity);
+
+    /// Records an event; its sequence and times are filled in. Drops the oldest event when full.
+    void record(event entry);
+
+    /// Advances the logical time beyond one received from another process.
+    void observe(std::uint64_t logical_time);
+
+    /// Logical time to send with a message.
+    std::uint64_t logical_time() const { return logical_time_; }
+
+    process_id const& process() const { return process_; }
+    std::deque<event> const& events() const { return events_; }
+
+    /// `{"process":..,"dropped":n,"events":[..]}` with events after `sequence`.
+    Json::Value to_json(std::uint64_t after_sequence = 0) const;
+
+private:
+    process_id process_;
+    std::function<std::int64_t()> wall_time_ms_;
+    std::size_t capacity_;
+    std::deque<event> events_;
+    std::uint64_t next_sequence_ = 1;
+    std::uint64_t logical_time_ = 0;
+    std::uint64_t dropped_ = 0;
+};
+
+} // namespace almondcart
--- /dev/null
+++ b/libraries/core/include/almondcart/core/instant.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <chrono>
+#include <compare>
+
+namespace almondcart {
+
+/// Length of time in milliseconds.
+using duration = std::chrono::milliseconds;
+
+/// Point in time, in milliseconds on one process's clock. Instants of two processes do not compare.
+struct instant
+{
+    duration since_epoch{0};
+
+    friend auto operator<=>(instant const&, instant const&) = default;
+
+    friend instant operator+(instant left, duration right) { return {left.since_epoch + right}; }
+    friend instant operator-(instant left, duration right) { return {left.since_epoch - right}; }
+    friend duration operator-(instant left, instant right)
+    {
+        return left.since_epoch - right.since_epoch;
+    }
+};
+
+} // namespace almondcart
--- /dev/null
+++ b/libraries/core/include/almondcart/core/json.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+#include <json/json.h>
+
+#include <string>
+#include <string_view>
+
+namespace almondcart {
+
+/// Parses one strict JSON text. Errors carry `malformed_request` with the parser's position.
+absl::StatusOr<Json::Value> parse_json(std::string_view text);
+
+/// Compact form on one line, without a final newline.
+std::string to_compact_json(Json::Value const& value);
+
+} // namespace almondcart
--- /dev/null
+++ b/libraries/core/include/almondcart/core/logging.hpp
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <absl/status/status.h>
+
+#include <string>
+#include <string_view>
+
+namespace almondcart {
+
+/// Sends log lines to standard error, one line per event, from `level` up: "debug", "info",
+/// "warning" or "error". Each line starts with the time, the level and the process name; the
+/// message starts with the fixed prefix of its part, for example "[budget]".
+///
+/// Returns `invalid_settings` for an unknown level.
+absl::Status set_up_logging(std::string_view process_name, std::string_view level);
+
+} // namespace almondcart
--- /dev/null
+++ b/libraries/core/include/almondcart/core/status.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <almondcart/core/instant.hpp>
+#include <almondcart/core/result_code.hpp>
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace almondcart {
+
+/// Truthful answer to a caller whose request has no result.
+struct refusal
+{
+    result_code code = result_code::internal_error;
+    std::string detail;
+    ran_state ran = ran_state::unknown;
+    std::optional<duration> retry_after;
+};
+
+/// Refusal with the table's default for `ran`.
+refusal
+make_refusal(result_code code, std::string_view detail, std::optional<duration> retry_after = {});
+
+/// Error status that carries `code` as a payload.
+absl::Status make_status(result_code code, std::string_view detail);
+
+/// Code carried by `status`: `ok` for an OK status, `internal_error` if it carries none.
+result_code code_of(absl::Status const& status);
+
+} // namespace almondcart
--- /dev/null
+++ b/libraries/core/src/logging.cpp
@@ -0,0 +1,42 @@
+#include <almondcart/core/logging.hpp>
+#include <almondcart/core/status.hpp>
+
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <array>
+#include <memory>
+#include <utility>
+
+namespace almondcart {
+
+namespace {
+
+constexpr std::array<std::pair<std::string_view, spdlog::level::level_enum>, 4> level_names = {{
+    {"debug", spdlog::level::debug},
+    {"info", spdlog::level::info},
+    {"warning", spdlog::level::warn},
+    {"error", spdlog::level::err},
+}};
+
+} // namespace
+
+absl::Status set_up_logging(std::string_view process_name, std::string_view level)
+{
+    for (auto const& [name, value] : level_names)
+    {
+        if (name != level)
+            continue;
+        auto sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
+        auto logger = std::make_shared<spdlog::logger>(std::string(process_name), std::move(sink));
+        logger->set_level(value);
+        logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %n %v");
+        spdlog::set_default_logger(std::move(logger));
+        return absl::OkStatus();
+    }
+    return make_status(
+        result_code::invalid_settings,
+        "log_level: expected \"debug\", \"info\", \"warning\" or \"error\"");
+}
+
+} // namespace almondcart
--- /dev/null
+++ b/tests/core.cpp
@@ -0,0 +1,63 @@
+#include <almondcart/core/event_journal.hpp>
+#include <almondcart/core/identifiers.hpp>
+#include <almondcart/core/json.hpp>
+#include <almondcart/core/json_reader.hpp>
+#include <almondcart/core/status.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace almondcart;
+
+// Guards against a settings file with a misspelt member being accepted with a default in its place.
+Test(json_reader, reports_unknown_member)
+{
+    auto const value = parse_json(R"({"listen":"127.0.0.1:1","lsten":2})").value();
+    json_reader reader(value, "router.json", result_code::invalid_settings);
+    cr_assert_eq(reader.string("listen"), "127.0.0.1:1");
+    auto const status = reader.finish();
+    cr_assert_eq(code_of(status), result_code::invalid_settings);
+    cr_assert_eq(status.message(), "router.json: unknown member \"lsten\"");
+}
+
+// Guards against an error that does not say which nested member is wrong.
+Test(json_reader, names_path_and_expected_type)
+{
+    auto const value = parse_json(R"({"budgets":[{"total_tokens":"many"}]})").value();
+    json_reader reader(value, "service.json", result_code::document_invalid);
+    reader.objects("budgets", [](json_reader& it) { it.integer("total_tokens", 0, 10); });
+    cr_assert_eq(
+        reader.finish().message(),
+        "service.json: member \"budgets[0].total_tokens\": expected an integer from 0 to 10");
+}
+
+// Guards against a wrong text form splitting one account's records over two shards.
+Test(identifiers, text_forms_round_trip)
+{
+    budget_id const budget{{"sandshare", "dune-masters"}, "season"};
+    cr_assert(try_budget_id(to_text(budget)) == budget);
+    request_id const request{budget.account, "key-0001"};
+    cr_assert(try_request_id(to_text(request)) == request);
+    cr_assert(try_grant_id("3:17") == (grant_id{3, 17}));
+    cr_assert(!try_grant_id("3:17x"));
+    cr_assert(!try_budget_id("sandshare/season"));
+}
+
+// Guards against the shard of an account changing between versions of the program, which would
+// split its budget over two streams.
+Test(identifiers, shard_is_stable)
+{
+    cr_assert_eq(shard_of({"sandshare", "dune-masters"}), 3);
+}
+
+// Guards against effects sorting before their causes in the merged time line.
+Test(event_journal, observed_time_orders_later_events)
+{
+    event_journal journal(
+        {"router-1", "a"}, [] { return 5; }, 2);
+    journal.record({});
+    journal.observe(40);
+    journal.record({});
+    journal.record({});
+    cr_assert_eq(journal.events().size(), 2);
+    cr_assert_gt(journal.events().front().logical_time, 40);
+}
