--- a/libraries/ledger/include/almondcart/ledger/records.hpp
+++ b/libraries/ledger/include/almondcart/ledger/records.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <almondcart/core/identifiers.hpp>
+#include <almondcart/document/service_document.hpp>
 
 #include <absl/status/statusor.h>
 #include <json/json.h>
@@ -16,15 +17,6 @@
 /// Number of tokens. Never negative in a valid record.
 using token_count = std::int64_t;
 
-/// Which error the owner of a budget gives more weight to.
-enum class budget_preference
-{
-    false_refusals,
-    overspend,
-};
-
-std::string_view name_of(budget_preference preference);
-
 /// Tokens under one grant.
 struct grant_part
 {
