--- a/tests/core.cpp
+++ b/tests/core.cpp
@@ -6,6 +6,10 @@
 
 #include <criterion/criterion.h>
 
+#include <fstream>
+#include <sstream>
+#include <string>
+
 using namespace almondcart;
 
 // Guards against a settings file with a misspelt member being accepted with a default in its place.
@@ -61,3 +65,22 @@
     cr_assert_eq(journal.events().size(), 2);
     cr_assert_gt(journal.events().front().logical_time, 40);
 }
+
+// Guards against a code whose documented status or `ran` differs from what callers receive.
+Test(result_code, documented_table_equals_code)
+{
+    std::ifstream file(ALMONDCART_SOURCE_DIRECTORY "/docs/result-codes.md");
+    std::string documented;
+    for (std::string line; std::getline(file, line);)
+    {
+        if (line.starts_with("| 1"))
+            documented += line.substr(0, line.rfind('|', line.size() - 2)) + "\n";
+    }
+    std::ostringstream expected;
+    for (auto const& entry : result_code_table())
+    {
+        expected << "| " << static_cast<int>(entry.code) << " | `" << entry.name << "` | "
+                 << entry.http_status << " | " << name_of(entry.ran) << " \n";
+    }
+    cr_assert_eq(documented, expected.str());
+}
