--- /dev/null
+++ b/libraries/core/include/almondcart/core/json_members.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <almondcart/core/json_reader.hpp>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace almondcart {
+
+/// Whether `text` is an IPv4 address and a port, "127.0.0.1:8080".
+bool is_valid_address(std::string_view text);
+
+/// Member with a name as accepted by `is_valid_name`.
+std::string read_name(json_reader& reader, std::string_view member);
+
+/// Member with an address "ip:port".
+std::string read_address(json_reader& reader, std::string_view member);
+
+/// Member with an array of addresses "ip:port".
+std::vector<std::string> read_addresses(json_reader& reader, std::string_view member);
+
+} // namespace almondcart
--- a/libraries/document/src/service_document.cpp
+++ b/libraries/document/src/service_document.cpp
@@ -1,4 +1,4 @@
-#include <almondcart/core/json_reader.hpp>
+#include <almondcart/core/json_members.hpp>
 #include <almondcart/core/status.hpp>
 #include <almondcart/document/service_document.hpp>
 
@@ -28,14 +28,6 @@
                text, [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f'); });
 }
 
-std::string read_name(json_reader& reader, std::string_view member)
-{
-    std::string name = reader.string(member);
-    if (!is_valid_name(name))
-        reader.fail(member, "1 to 64 characters of a-z, 0-9 and -");
-    return name;
-}
-
 budget_definition read_budget(json_reader& reader)
 {
     budget_definition budget;
