--- a/libraries/routing/include/almondcart/routing/admission_queue.hpp
+++ b/libraries/routing/include/almondcart/routing/admission_queue.hpp
@@ -99,18 +99,22 @@
     {
         double hold_ms = 0;
         double first_byte_ms = 0;
+        double first_byte_deviation_ms = 0; ///< mean absolute deviation
+
+        double latest_first_byte_ms() const;
     };
     struct running_entry
     {
         std::string kind;
-        int priority = 0;
         instant started;
+        bool has_first_byte = false;
     };
 
     void pump();
     bool dispatch_next();
     int limit_of(int priority) const;
-    std::optional<admission_entry> take_next(priority_class& from);
+    admission_entry take_next(priority_class& from);
+    void removed_from(priority_class& queue, std::string const& account, std::size_t count = 1);
     void drop_expired(std::vector<std::pair<std::uint64_t, refusal>>& refused);
     bool shed_below(int priority);
     refusal overloaded(admission_entry const& entry, std::string_view detail) const;
--- a/libraries/routing/include/almondcart/routing/crash_suspects.hpp
+++ b/libraries/routing/include/almondcart/routing/crash_suspects.hpp
@@ -12,7 +12,7 @@
 namespace almondcart {
 
 /// Request that was running when an upstream crashed.
-struct crashed_request
+struct crash_participant
 {
     std::string request; ///< text form of its id
     std::string fingerprint;
@@ -25,7 +25,7 @@
     std::string crash; ///< id, unique per crash
     std::string upstream;
     std::string agent; ///< text form of the process id
-    std::vector<crashed_request> requests;
+    std::vector<crash_participant> requests;
 };
 
 /// `crash_report` that is due on the `config` stream.
@@ -67,6 +67,10 @@
     /// appended to `config`, unless another router has done so.
     std::function<void(std::string const& fingerprint, std::vector<crash_record> const&)>
         identified;
+
+    /// A suspect completed here. Peers and the home agent are told (`clear`).
+    std::function<void(std::string const& fingerprint, std::set<std::string> const& crashes)>
+        cleared;
 };
 
 /// Requests that are suspected to crash the upstreams that run them. Each router applies the crash
@@ -93,12 +97,18 @@
     /// their reports arrive again.
     void clear(std::string const& fingerprint, std::set<std::string> const& crashes);
 
+    /// Learns of crashes whose reports have not arrived yet, from a home agent's placement.
+    void add(std::string const& fingerprint, std::set<std::string> const& crashes);
+
     suspicion check(std::string const& fingerprint) const;
 
     /// Crashes in which the fingerprint is suspected, for `run_placements` and for `clear` at
     /// peers.
     std::set<std::string> crashes_of(std::string const& fingerprint) const;
 
+    /// Upstreams that crashed with the fingerprint, to be avoided by its further run.
+    std::vector<std::string> crashed_upstreams(std::string const& fingerprint) const;
+
     /// Requests that were running in any remembered crash, and may run again as a suspect.
     std::vector<std::string> suspects() const;
 
@@ -123,14 +133,16 @@
         upstream_crash crash;
         instant seen;
         std::set<std::string> cleared;
+        bool is_reported = false;
     };
     struct suspect_entry
     {
         std::set<std::string> crashes;
         std::string running_on; ///< upstream of its further run by this router, or empty
-        std::optional<instant> lost;
+        bool is_lost = false;
     };
 
+    crash_entry& find_or_create(std::string const& crash);
     void identify(std::string const& fingerprint);
     void forget(std::string const& crash);
 
@@ -139,8 +151,8 @@
     crash_suspects_settings settings_;
     std::map<std::string, crash_entry> crashes_;
     std::map<std::string, suspect_entry> suspects_;
-    std::map<std::string, std::set<std::string>> cleared_ahead_; ///< by crash not reported yet
     std::set<std::string> blocked_;
+    std::set<std::string> announced_;              ///< fingerprints given to the `identified` hook
     std::set<std::string> upstreams_with_suspect_; ///< by heartbeats
 };
 
--- a/libraries/routing/include/almondcart/routing/order_planner.hpp
+++ b/libraries/routing/include/almondcart/routing/order_planner.hpp
@@ -105,6 +105,7 @@
     void
     plan(wanted_state const& wanted, reported_state& reported, std::vector<upstream_order>& orders);
     bool is_due(reported_state const& reported, std::string const& key, std::int64_t number) const;
+    void refill();
     bool try_take_load();
 
     clock_function clock_;
--- a/libraries/routing/include/almondcart/routing/run_placements.hpp
+++ b/libraries/routing/include/almondcart/routing/run_placements.hpp
@@ -51,6 +51,9 @@
 
     placement place(placement_request const& request);
 
+    /// The fingerprint was running when the agent's own upstream crashed.
+    void add_crash(std::string const& fingerprint, std::string const& crash);
+
     /// The fingerprint ran to its end as a suspect; its crashes no longer count.
     void clear(std::string const& fingerprint);
 
@@ -73,7 +76,8 @@
         instant last_use;
     };
 
-    placement answer(entry& it, placement_request const& request) const;
+    entry& find_or_create(std::string const& fingerprint);
+    static placement answer(entry& it, placement_request const& request);
     void make_room();
 
     clock_function clock_;
--- /dev/null
+++ b/libraries/routing/src/membership.cpp
@@ -0,0 +1,222 @@
+#include <almondcart/core/hash.hpp>
+#include <almondcart/routing/membership.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace almondcart {
+
+namespace {
+
+/// Incarnations remembered per name. Late heartbeats arrive within seconds, during which a process
+/// is not replaced more often.
+constexpr std::size_t superseded_limit = 8;
+
+/// Moves `current` to a newly seen incarnation. Returns false if `seen` was superseded before.
+bool accept_incarnation(process_id& current, process_id const& seen, std::deque<std::string>& old)
+{
+    if (current.incarnation == seen.incarnation)
+        return true;
+    if (std::find(old.begin(), old.end(), seen.incarnation) != old.end())
+        return false;
+    if (!current.incarnation.empty())
+        old.push_back(current.incarnation);
+    if (old.size() > superseded_limit)
+        old.pop_front();
+    current = seen;
+    return true;
+}
+
+} // namespace
+
+std::string_view name_of(upstream_state state)
+{
+    switch (state)
+    {
+    case upstream_state::usable:
+        return "usable";
+    case upstream_state::unknown:
+        return "unknown";
+    case upstream_state::agent_leaving:
+        return "agent_leaving";
+    case upstream_state::vm_leaving:
+        return "vm_leaving";
+    case upstream_state::heartbeats_missed:
+        return "heartbeats_missed";
+    }
+    return "unknown";
+}
+
+membership::membership(
+    process_id self,
+    clock_function clock,
+    membership_hooks hooks,
+    membership_settings settings)
+    : self_(std::move(self))
+    , clock_(std::move(clock))
+    , hooks_(std::move(hooks))
+    , settings_(settings)
+{}
+
+bool membership::apply(agent_sighting const& sighting)
+{
+    auto& entry = upstreams_[sighting.upstream];
+    auto const previous = entry.member.agent;
+    if (!accept_incarnation(entry.member.agent, sighting.agent, entry.superseded))
+        return false;
+    if (previous != entry.member.agent)
+        entry.is_leaving = false;
+    entry.member.address = sighting.address;
+    entry.member.last_heartbeat = clock_();
+    entry.is_leaving = entry.is_leaving || sighting.is_leaving;
+    announce(sighting.upstream, entry);
+    return true;
+}
+
+void membership::apply(std::vector<vm_entry> const& list)
+{
+    vm_leaving_.clear();
+    for (auto const& it : list)
+        vm_leaving_[it.address] = it.is_leaving;
+    for (auto& [name, entry] : upstreams_)
+        announce(name, entry);
+}
+
+bool membership::apply(peer_sighting const& sighting)
+{
+    if (sighting.router.name == self_.name)
+        return sighting.router == self_;
+    auto& entry = peers_[sighting.router.name];
+    auto const previous = entry.router;
+    if (!accept_incarnation(entry.router, sighting.router, entry.superseded))
+        return false;
+    bool const is_replaced = !previous.name.empty() && previous != entry.router;
+    if (is_replaced && !entry.is_suspected && hooks_.peer_suspected)
+        hooks_.peer_suspected(previous);
+    entry.address = sighting.address;
+    entry.last_heartbeat = clock_();
+    entry.is_leaving = sighting.is_leaving;
+    entry.is_suspected = false;
+    return true;
+}
+
+void membership::tick()
+{
+    for (auto& [name, entry] : upstreams_)
+        announce(name, entry);
+    for (auto& [name, entry] : peers_)
+    {
+        if (entry.is_suspected || is_alive(entry))
+            continue;
+        entry.is_suspected = true;
+        if (hooks_.peer_suspected)
+            hooks_.peer_suspected(entry.router);
+    }
+}
+
+upstream_state membership::judge(upstream_entry const& entry) const
+{
+    if (entry.is_leaving)
+        return upstream_state::agent_leaving;
+    auto const vm = vm_leaving_.find(entry.member.address);
+    if (vm != vm_leaving_.end() && vm->second)
+        return upstream_state::vm_leaving;
+    if (clock_() - entry.member.last_heartbeat > settings_.upstream_timeout)
+        return upstream_state::heartbeats_missed;
+    return upstream_state::usable;
+}
+
+void membership::announce(std::string const& upstream, upstream_entry& entry)
+{
+    auto const state = judge(entry);
+    if (state == entry.announced)
+        return;
+    entry.announced = state;
+    if (hooks_.upstream_changed)
+        hooks_.upstream_changed(upstream, state);
+}
+
+bool membership::is_alive(peer_entry const& entry) const
+{
+    return clock_() - entry.last_heartbeat <= settings_.peer_timeout;
+}
+
+upstream_state membership::state_of(std::string const& upstream) const
+{
+    auto const it = upstreams_.find(upstream);
+    return it == upstreams_.end() ? upstream_state::unknown : judge(it->second);
+}
+
+bool membership::is_usable(std::string const& upstream) const
+{
+    return state_of(upstream) == upstream_state::usable;
+}
+
+upstream_member const* membership::find_upstream(std::string const& upstream) const
+{
+    auto const it = upstreams_.find(upstream);
+    return it == upstreams_.end() ? nullptr : &it->second.member;
+}
+
+std::vector<std::string> membership::usable_upstreams() const
+{
+    std::vector<std::string> names;
+    for (auto const& [name, entry] : upstreams_)
+    {
+        if (judge(entry) == upstream_state::usable)
+            names.push_back(name);
+    }
+    return names;
+}
+
+bool membership::is_live_peer(process_id const& router) const
+{
+    if (router == self_)
+        return true;
+    auto const it = peers_.find(router.name);
+    return it != peers_.end() && it->second.router == router && is_alive(it->second);
+}
+
+std::vector<process_id> membership::live_peers() const
+{
+    std::vector<process_id> routers;
+    for (auto const& [name, entry] : peers_)
+    {
+        if (is_alive(entry))
+            routers.push_back(entry.router);
+    }
+    return routers;
+}
+
+std::string const* membership::find_peer_address(process_id const& router) const
+{
+    auto const it = peers_.find(router.name);
+    if (it == peers_.end() || it->second.router != router)
+        return nullptr;
+    return &it->second.address;
+}
+
+std::vector<process_id> membership::rendezvous_order(std::string_view key) const
+{
+    auto routers = live_peers();
+    routers.push_back(self_);
+    auto const seed = hash64(key);
+    auto const rank = [&](process_id const& it)
+    {
+        auto const peer = peers_.find(it.name);
+        bool const is_leaving = peer != peers_.end() && peer->second.is_leaving;
+        return std::pair(is_leaving ? 1 : 0, ~hash64(it.name, seed));
+    };
+    std::sort(
+        routers.begin(),
+        routers.end(),
+        [&](auto const& left, auto const& right) { return rank(left) < rank(right); });
+    return routers;
+}
+
+bool membership::acts_first(std::string_view key) const
+{
+    return rendezvous_order(key).front() == self_;
+}
+
+} // namespace almondcart
--- /dev/null
+++ b/libraries/routing/src/retry_budget.cpp
@@ -0,0 +1,45 @@
+#include <almondcart/routing/retry_budget.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace almondcart {
+
+retry_budget::retry_budget(clock_function clock, retry_budget_settings settings)
+    : clock_(std::move(clock))
+    , settings_(settings)
+    , available_(std::min(settings.burst, settings.floor_per_s))
+    , refilled_(clock_())
+{}
+
+void retry_budget::count_request()
+{
+    refill();
+    available_ = std::min(settings_.burst, available_ + settings_.share);
+}
+
+bool retry_budget::try_retry(failed_attempt const& attempt)
+{
+    if (!attempt.is_idempotent || attempt.has_first_byte)
+        return false;
+    refill();
+    if (available_ < 1)
+        return false;
+    available_ -= 1;
+    return true;
+}
+
+double retry_budget::available() const
+{
+    auto const elapsed_s = std::chrono::duration<double>(clock_() - refilled_).count();
+    return std::min(settings_.burst, available_ + elapsed_s * settings_.floor_per_s);
+}
+
+void retry_budget::refill()
+{
+    available_ = available();
+    refilled_ = clock_();
+}
+
+} // namespace almondcart
--- /dev/null
+++ b/libraries/routing/src/upstream_selector.cpp
@@ -0,0 +1,240 @@
+#include <almondcart/core/hash.hpp>
+#include <almondcart/routing/upstream_selector.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace almondcart {
+
+upstream_selector::upstream_selector(
+    std::function<bool(std::string const&)> is_usable,
+    selector_settings settings)
+    : is_usable_(std::move(is_usable))
+    , settings_(settings)
+{}
+
+void upstream_selector::set_upstreams(std::map<std::string, upstream_traits> const& upstreams)
+{
+    std::erase_if(upstreams_, [&](auto const& it) { return !upstreams.contains(it.first); });
+    for (auto const& [name, traits] : upstreams)
+        upstreams_[name].traits = traits;
+}
+
+std::uint64_t upstream_selector::affinity_key(std::string_view prompt) const
+{
+    return hash64(prompt.substr(0, settings_.affinity_bytes));
+}
+
+bool upstream_selector::serves(upstream_entry const& entry, selection_request const& request)
+{
+    auto const& traits = entry.traits;
+    bool const has_model =
+        request.model.empty() ||
+        std::find(traits.models.begin(), traits.models.end(), request.model) != traits.models.end();
+    bool const has_role = request.role.empty() || traits.role.empty() || traits.role == "mixed" ||
+                          traits.role == request.role;
+    return has_model && has_role;
+}
+
+std::vector<upstream_selector::candidate>
+upstream_selector::ordered_candidates(selection_request const& request) const
+{
+    std::vector<candidate> found;
+    auto const key = affinity_key(request.prompt);
+    for (auto const& [name, entry] : upstreams_)
+    {
+        bool const is_avoided =
+            std::find(request.avoid.begin(), request.avoid.end(), name) != request.avoid.end();
+        if (!is_avoided && serves(entry, request) && is_usable_(name))
+            found.push_back({&name, &entry, hash64(name, key)});
+    }
+    std::sort(
+        found.begin(),
+        found.end(),
+        [](candidate const& left, candidate const& right) { return left.score > right.score; });
+    return found;
+}
+
+bool upstream_selector::has_room(candidate const& it, double average_load) const
+{
+    double const slots = std::max(1, it.entry->traits.slots);
+    double const bound =
+        std::max(slots * settings_.free_share, average_load * settings_.load_bound);
+    // An upstream with all slots taken queues the request, so the bound never exceeds the slots
+    // while another upstream has a free one.
+    return load_of(*it.entry) + 1 <= std::min(slots, std::ceil(bound));
+}
+
+std::optional<selection> upstream_selector::select(selection_request const& request) const
+{
+    auto const candidates = ordered_candidates(request);
+    if (candidates.empty())
+        return std::nullopt;
+
+    int load = 0;
+    int slots = 0;
+    for (auto const& it : candidates)
+    {
+        load += load_of(*it.entry);
+        slots += std::max(1, it.entry->traits.slots);
+    }
+    auto const key = affinity_key(request.prompt);
+    candidate const* chosen = nullptr;
+    std::size_t position = 0;
+    for (auto const& it : candidates)
+    {
+        double const own_slots = std::max(1, it.entry->traits.slots);
+        double const average = (load + 1.0) * own_slots / slots;
+        if (has_room(it, average))
+        {
+            bool const is_hinted =
+                position < settings_.hint_reach && it.entry->prefixes.contains(key);
+            if (is_hinted || chosen == nullptr)
+                chosen = &it;
+            if (is_hinted)
+                break;
+        }
+        ++position;
+    }
+    if (chosen == nullptr)
+    {
+        chosen = &*std::min_element(
+            candidates.begin(),
+            candidates.end(),
+            [](auto const& left, auto const& right)
+            {
+                auto const relative = [](candidate const& it) {
+                    return static_cast<double>(load_of(*it.entry)) /
+                           std::max(1, it.entry->traits.slots);
+                };
+                return relative(left) < relative(right);
+            });
+    }
+    return selection{*chosen->name, key, chosen == &candidates.front()};
+}
+
+std::optional<std::string>
+upstream_selector::find_home(std::string_view prompt, std::string const& model) const
+{
+    selection_request request;
+    request.prompt = prompt;
+    request.model = model;
+    auto const candidates = ordered_candidates(request);
+    if (candidates.empty())
+        return std::nullopt;
+    return *candidates.front().name;
+}
+
+std::uint64_t upstream_selector::dispatched(std::string const& upstream)
+{
+    auto const it = upstreams_.find(upstream);
+    if (it == upstreams_.end())
+        return 0;
+    ++it->second.dispatched;
+    return it->second.epoch;
+}
+
+void upstream_selector::finished(std::string const& upstream, std::uint64_t epoch)
+{
+    auto const it = upstreams_.find(upstream);
+    if (it == upstreams_.end() || it->second.epoch != epoch)
+        return;
+    it->second.finished = std::min(it->second.finished + 1, it->second.dispatched);
+}
+
+void upstream_selector::apply(std::string const& upstream, load_report const& report)
+{
+    auto const it = upstreams_.find(upstream);
+    if (it == upstreams_.end())
+        return;
+    it->second.report = report;
+    it->second.finished_at_report = it->second.finished;
+}
+
+void upstream_selector::apply(std::string const& upstream, cache_event const& event)
+{
+    auto const it = upstreams_.find(upstream);
+    if (it == upstreams_.end() || event.sequence <= it->second.last_event)
+        return;
+    auto& entry = it->second;
+    bool const has_gap = event.sequence != entry.last_event + 1;
+    entry.last_event = event.sequence;
+    // A lost event may have been an eviction, so older hints would attract work without reason.
+    if (has_gap || event.kind == cache_event_kind::cleared ||
+        entry.prefixes.size() >= settings_.hint_limit)
+        entry.prefixes.clear();
+    if (event.kind == cache_event_kind::stored)
+        entry.prefixes.insert(event.prefix);
+    if (event.kind == cache_event_kind::evicted)
+        entry.prefixes.erase(event.prefix);
+}
+
+void upstream_selector::restarted(std::string const& upstream)
+{
+    auto const it = upstreams_.find(upstream);
+    if (it == upstreams_.end())
+        return;
+    upstream_entry fresh;
+    fresh.traits = it->second.traits;
+    fresh.epoch = it->second.epoch + 1;
+    it->second = std::move(fresh);
+}
+
+int upstream_selector::load_of(upstream_entry const& entry)
+{
+    auto const own = static_cast<std::int64_t>(entry.dispatched - entry.finished);
+    auto const seen = std::min(entry.report.seen, entry.dispatched);
+    auto const unseen = static_cast<std::int64_t>(entry.dispatched - seen);
+    auto const ended = static_cast<std::int64_t>(entry.finished - entry.finished_at_report);
+    auto const reported = static_cast<std::int64_t>(entry.report.running) + entry.report.queued;
+    return static_cast<int>(std::max(own, reported + unseen - ended));
+}
+
+int upstream_selector::load_of(std::string const& upstream) const
+{
+    auto const it = upstreams_.find(upstream);
+    return it == upstreams_.end() ? 0 : load_of(it->second);
+}
+
+int upstream_selector::in_flight(std::string const& upstream) const
+{
+    auto const it = upstreams_.find(upstream);
+    if (it == upstreams_.end())
+        return 0;
+    return static_cast<int>(it->second.dispatched - it->second.finished);
+}
+
+bool upstream_selector::is_hinted(std::string const& upstream, std::uint64_t affinity_key) const
+{
+    auto const it = upstreams_.find(upstream);
+    return it != upstreams_.end() && it->second.prefixes.contains(affinity_key);
+}
+
+int upstream_selector::usable_slots() const
+{
+    int slots = 0;
+    for (auto const& [name, entry] : upstreams_)
+    {
+        if (is_usable_(name))
+            slots += entry.traits.slots;
+    }
+    return slots;
+}
+
+int upstream_selector::concurrency_limit(int routers) const
+{
+    int free_for_this = 0;
+    for (auto const& [name, entry] : upstreams_)
+    {
+        if (!is_usable_(name))
+            continue;
+        int const others = load_of(entry) - in_flight(name);
+        free_for_this += std::max(0, entry.traits.slots - others);
+    }
+    int const slots = usable_slots();
+    int const share = (slots + std::max(1, routers) - 1) / std::max(1, routers);
+    return std::max(share, free_for_this);
+}
+
+} // namespace almondcart
