Routing: Let estimates of the time to first byte fade without samples

Cause: at 1.5 times capacity every request of the highest priority was refused, because the estimate had risen above the deadline and got no new sample once nothing was dispatched. Change: an estimate without samples for a second halves each second towards its initial value. The misses come from slots that several routers fill at once; that is the next change.

--- a/libraries/routing/include/almondcart/routing/admission_queue.hpp
+++ b/libraries/routing/include/almondcart/routing/admission_queue.hpp
@@ -100,6 +100,7 @@
         double hold_ms = 0;
         double first_byte_ms = 0;
         double first_byte_deviation_ms = 0; ///< mean absolute deviation
+        instant last_first_byte;
 
         double latest_first_byte_ms() const;
     };
--- a/libraries/routing/src/admission_queue.cpp
+++ b/libraries/routing/src/admission_queue.cpp
@@ -13,6 +13,9 @@
 constexpr double rate_smoothing = 0.3; ///< weight of the last period in arrival rates
 constexpr duration rate_period{1000};
 
+/// Age at which an estimate of the time to first byte starts to fade, and its half-life.
+constexpr duration estimate_half_life{1000};
+
 /// A priority keeps at least this share of the slots in estimates, so that a burst of more
 /// important work makes waits long but finite.
 constexpr double least_share = 0.02;
@@ -88,10 +91,12 @@
         return;
     it->second.has_first_byte = true;
     auto const sample = to_ms(clock_() - it->second.started);
-    auto& times = kinds_.try_emplace(it->second.kind, times_of(it->second.kind)).first->second;
+    auto times = times_of(it->second.kind);
     auto const error = sample - times.first_byte_ms;
     times.first_byte_ms += smoothing * error;
     times.first_byte_deviation_ms += smoothing * (std::abs(error) - times.first_byte_deviation_ms);
+    times.last_first_byte = clock_();
+    kinds_[it->second.kind] = times;
 }
 
 void admission_queue::finished(std::uint64_t ticket, bool is_measured)
@@ -276,9 +281,19 @@
 admission_queue::kind_times admission_queue::times_of(std::string const& kind) const
 {
     auto const it = kinds_.find(kind);
-    if (it != kinds_.end())
-        return it->second;
-    return {to_ms(settings_.initial_hold_time), to_ms(settings_.initial_first_byte), 0};
+    if (it == kinds_.end())
+        return {
+            to_ms(settings_.initial_hold_time), to_ms(settings_.initial_first_byte), 0, clock_()};
+    auto times = it->second;
+    auto const stale = to_ms(clock_() - times.last_first_byte) - to_ms(estimate_half_life);
+    if (stale <= 0)
+        return times;
+    // An estimate that refuses everything gets no new sample, so it fades while it gets none.
+    auto const weight = std::exp2(-stale / to_ms(estimate_half_life));
+    auto const initial = to_ms(settings_.initial_first_byte);
+    times.first_byte_ms = initial + weight * (times.first_byte_ms - initial);
+    times.first_byte_deviation_ms *= weight;
+    return times;
 }
 
 double admission_queue::kind_times::latest_first_byte_ms() const
