Routing: Divide free slots among the live routers

Cause: each router counted all free slots as its own, so four routers together sent more than the slots, and requests queued in the engines. Change: a router takes its part of the free slots beyond what it uses.

--- a/libraries/routing/src/upstream_selector.cpp
+++ b/libraries/routing/src/upstream_selector.cpp
@@ -224,17 +224,18 @@
 
 int upstream_selector::concurrency_limit(int routers) const
 {
-    int free_for_this = 0;
+    int free = 0;
+    int own = 0;
     for (auto const& [name, entry] : upstreams_)
     {
         if (!is_usable_(name))
             continue;
-        int const others = load_of(entry) - in_flight(name);
-        free_for_this += std::max(0, entry.traits.slots - others);
+        free += std::max(0, entry.traits.slots - load_of(entry));
+        own += in_flight(name);
     }
-    int const slots = usable_slots();
-    int const share = (slots + std::max(1, routers) - 1) / std::max(1, routers);
-    return std::max(share, free_for_this);
+    // Every router sees the same free slots, so each takes its part of them.
+    int const n = std::max(1, routers);
+    return std::max(usable_slots() / n, own + free / n);
 }
 
 } // namespace almondcart
