--- a/libraries/routing/include/almondcart/routing/admission_queue.hpp
+++ b/libraries/routing/include/almondcart/routing/admission_queue.hpp
@@ -30,7 +30,7 @@
     std::size_t capacity = 1024; ///< entries that wait, over all priorities
     /// Share of the slots that only the highest priority may use, so that interactive work does not
     /// wait for a long request of a lower priority to end.
-    double interactive_share = 0.15;
+    double interactive_share = 0.25;
     duration initial_hold_time{500};  ///< slot occupancy assumed of a kind not yet measured
     duration initial_first_byte{100}; ///< time from dispatch to first byte, likewise
     /// Estimated waits are multiplied by this before they are compared with the time that is left.
