Gate: Add the messages of /work

The router and the agent need one type for the /work message and its response lines. Strict parsing on both sides rules out a misspelt cap or reservation being read as a default.

--- /dev/null
+++ b/libraries/gate/include/almondcart/gate/frame.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <almondcart/core/result_code.hpp>
+#include <almondcart/ledger/records.hpp>
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace almondcart {
+
+/// Tokens of one request, as counted and capped by the gate.
+struct token_usage
+{
+    token_count prompt = 0;
+    token_count output = 0;
+
+    token_count total() const { return prompt + output; }
+
+    friend bool operator==(token_usage const&, token_usage const&) = default;
+};
+
+/// Part of an answer. For engines `data` is one chat-completions chunk as JSON text, whether or not
+/// the caller asked for a stream. Plain services have only the final frame.
+struct data_frame
+{
+    std::int64_t number = 0; ///< counts from 0, without gaps
+    std::string data;
+    token_count tokens = 0; ///< output tokens in `data`
+
+    friend bool operator==(data_frame const&, data_frame const&) = default;
+};
+
+/// Last frame of an answer.
+struct final_frame
+{
+    std::int64_t number = 0;
+    result_code code = result_code::ok; ///< of a call that started and failed; billed nevertheless
+    int status = 200;                   ///< HTTP status of the upstream, or of `code`
+    std::string content_type;
+    token_usage usage;
+    std::int64_t started_ms = 0;   ///< of the usage item
+    std::vector<grant_part> parts; ///< of the usage item; they belong to the dispatch that ran
+    std::string data;              ///< body, or last chunk; the reason when the call failed
+
+    friend bool operator==(final_frame const&, final_frame const&) = default;
+};
+
+/// Only line of a refused dispatch. With `answer_expired` and `request_key_reused` the named
+/// request may have run before; with all other codes this attempt did not run and will not.
+struct work_refusal
+{
+    result_code code = result_code::internal_error;
+    std::string detail;
+    int next_attempt = 0; ///< with `request_fenced`: lowest attempt that is not fenced, else 0
+
+    friend bool operator==(work_refusal const&, work_refusal const&) = default;
+};
+
+/// Line of the response to `/work`.
+using work_line = std::variant<data_frame, final_frame, work_refusal>;
+
+/// Whether no line follows `line`.
+bool is_last(work_line const& line);
+
+/// One JSON object followed by a line feed.
+std::string to_text(work_line const& line);
+
+/// Parses one line, with or without the line feed. Errors carry `malformed_request`.
+absl::StatusOr<work_line> parse_work_line(std::string_view text);
+
+} // namespace almondcart
--- /dev/null
+++ b/libraries/gate/include/almondcart/gate/usage_json.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <almondcart/core/json_reader.hpp>
+#include <almondcart/ledger/records.hpp>
+
+#include <absl/status/statusor.h>
+#include <json/json.h>
+
+#include <string_view>
+#include <vector>
+
+namespace almondcart {
+
+/// `[{"grant":"3:17","tokens":40}]`
+Json::Value to_json(std::vector<grant_part> const& parts);
+
+/// Reads the array member `name` of grant parts. Errors are recorded in `reader`.
+std::vector<grant_part> read_grant_parts(json_reader& reader, std::string_view name);
+
+/// Usage item in messages between agents and routers:
+/// `{"request":..,"started_ms":..,"parts":[..]}`.
+Json::Value to_json(usage_item const& item);
+
+Json::Value to_json(std::vector<usage_item> const& items);
+
+/// Reads the array member `name` of usage items. Errors are recorded in `reader`.
+std::vector<usage_item> read_usage_items(json_reader& reader, std::string_view name);
+
+/// Splits `tokens` over the reservation `grants` in order. Tokens beyond the reservation are
+/// dropped: a grant is never charged more than was reserved under it.
+std::vector<grant_part>
+split_over_grants(std::vector<grant_part> const& grants, token_count tokens);
+
+} // namespace almondcart
