--- a/tests/gate.cpp
+++ b/tests/gate.cpp
@@ -1,7 +1,9 @@
 #include <almondcart/core/json.hpp>
 #include <almondcart/core/status.hpp>
+#include <almondcart/gate/chat_completion_assembler.hpp>
 #include <almondcart/gate/dispatch.hpp>
 #include <almondcart/gate/frame.hpp>
+#include <almondcart/gate/heartbeat.hpp>
 #include <almondcart/gate/usage_json.hpp>
 
 #include <criterion/criterion.h>
@@ -90,3 +92,37 @@
     cr_assert(split_over_grants(grants, 500) == grants);
     cr_assert(split_over_grants(grants, 0).empty());
 }
+
+// Guards against a heartbeat member that one side writes and the other does not read.
+Test(heartbeat, round_trips)
+{
+    agent_heartbeat beat;
+    beat.agent = {"m1", "a"};
+    beat.upstream = "m1";
+    beat.address = "127.0.0.1:9000";
+    beat.is_leaving = true;
+    beat.config_offset = 12;
+    beat.running = 2;
+    beat.free_slots = 6;
+    beat.cache_prefixes = {"00ff"};
+    beat.crashes = {{"c1", {{{{"sandshare", "dune-masters"}, "key-0001"}, "f1"}}}};
+    cr_assert(parse_agent_heartbeat(to_json(beat)).value() == beat);
+    agent_heartbeat_result const result{{"router-1", "b"}, 13, true};
+    cr_assert(parse_agent_heartbeat_result(to_json(result)).value() == result);
+}
+
+// Guards against a caller without a stream receiving only part of the text, or other usage than
+// what is billed.
+Test(chat_completion_assembler, joins_chunks)
+{
+    chat_completion_assembler assembler;
+    assembler.add(R"({"id":"c1","model":"carver-8b","choices":[{"delta":{"role":"assistant"}}]})");
+    assembler.add(R"({"id":"c1","choices":[{"delta":{"content":"one "}}]})");
+    assembler.add(
+        R"({"id":"c1","choices":[{"delta":{"content":"two"},"finish_reason":"length"}]})");
+    auto const body = parse_json(assembler.finish({4, 2})).value();
+    cr_assert_eq(body["choices"][0]["message"]["content"].asString(), "one two");
+    cr_assert_eq(body["choices"][0]["finish_reason"].asString(), "length");
+    cr_assert_eq(body["usage"]["total_tokens"].asInt(), 6);
+    cr_assert_eq(body["model"].asString(), "carver-8b");
+}
