Core: Silence a false finding on defaulted comparisons

clang-tidy 14 reports modernize-use-nullptr inside defaulted operator<=>; each map of these types fails meta/lint.sh. Only those six lines are exempted; the check stays on everywhere else.

--- a/libraries/core/include/almondcart/core/identifiers.hpp
+++ b/libraries/core/include/almondcart/core/identifiers.hpp
@@ -18,6 +18,8 @@
     std::string service;
     std::string account;
 
+    // clang-tidy 14 takes the zero of rewritten comparisons for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(account_id const&, account_id const&) = default;
 };
 
@@ -27,6 +29,8 @@
     account_id account;
     std::string budget;
 
+    // clang-tidy 14 takes the zero of rewritten comparisons for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(budget_id const&, budget_id const&) = default;
 };
 
@@ -36,6 +40,8 @@
     std::string name;
     std::string incarnation;
 
+    // clang-tidy 14 takes the zero of rewritten comparisons for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(process_id const&, process_id const&) = default;
 };
 
@@ -45,6 +51,8 @@
     int shard = 0;
     std::int64_t offset = 0;
 
+    // clang-tidy 14 takes the zero of rewritten comparisons for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(grant_id const&, grant_id const&) = default;
 };
 
@@ -54,6 +62,8 @@
     account_id account;
     std::string key;
 
+    // clang-tidy 14 takes the zero of rewritten comparisons for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(request_id const&, request_id const&) = default;
 };
 
--- a/libraries/core/include/almondcart/core/instant.hpp
+++ b/libraries/core/include/almondcart/core/instant.hpp
@@ -13,6 +13,8 @@
 {
     duration since_epoch{0};
 
+    // clang-tidy 14 takes the zero of rewritten comparisons for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(instant const&, instant const&) = default;
 
     friend instant operator+(instant left, duration right) { return {left.since_epoch + right}; }
