Router: Add request sessions, peers, control service and status

The router's decisions per request are split into one base session, which reserves, queues, dispatches and settles, and two derived ones for work that may and may not run again. Only refusals by an agent and unsent dispatches count as proof that nothing ran.

Ruled out: one session class with flags; the two flows share too little after a failed attempt.

Before: parsing of requests only.

--- a/libraries/core/include/almondcart/core/status.hpp
+++ b/libraries/core/include/almondcart/core/status.hpp
@@ -31,4 +31,7 @@
 /// Code carried by `status`: `ok` for an OK status, `internal_error` if it carries none.
 result_code code_of(absl::Status const& status);
 
+/// Message of `status` as a standard string.
+std::string message_of(absl::Status const& status);
+
 } // namespace almondcart
--- a/libraries/core/src/status.cpp
+++ b/libraries/core/src/status.cpp
@@ -68,4 +68,9 @@
     return try_result_code(number).value_or(result_code::internal_error);
 }
 
+std::string message_of(absl::Status const& status)
+{
+    return std::string(status.message());
+}
+
 } // namespace almondcart
--- a/libraries/gate/include/almondcart/gate/work_gate.hpp
+++ b/libraries/gate/include/almondcart/gate/work_gate.hpp
@@ -43,7 +43,7 @@
 };
 
 /// Answer to `close_grant`.
-struct grant_report
+struct closed_grant_report
 {
     std::vector<usage_item> finished; ///< unacknowledged usage under the grant
     int running = 0;                  ///< requests that still run under the grant
@@ -113,7 +113,7 @@
     /// The connection was refused before any byte was sent: proof that the call did not run.
     void fail_before_start(std::uint64_t call, std::string_view detail);
 
-    grant_report close_grant(grant_id const& grant);
+    closed_grant_report close_grant(grant_id const& grant);
     request_state fence_request(request_id const& request, int attempt);
     request_state find_request(request_id const& request) const;
     /// Stops running idempotent work. Non-idempotent work is never stopped.
--- a/libraries/gate/src/work_gate.cpp
+++ b/libraries/gate/src/work_gate.cpp
@@ -410,11 +410,11 @@
         hooks_.cancel_call(call);
 }
 
-grant_report work_gate::close_grant(grant_id const& grant)
+closed_grant_report work_gate::close_grant(grant_id const& grant)
 {
     if (closed_grants_.insert(grant).second)
         note("grant_closed", {}, "grant " + to_text(grant));
-    grant_report report;
+    closed_grant_report report;
     report.finished = outbox_.under_grant(grant);
     for (auto const& [call, request] : calls_)
         report.running += is_under(records_.at(request), grant) ? 1 : 0;
--- /dev/null
+++ b/services/router/agent_registrar.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <almondcart/core/clock.hpp>
+#include <almondcart/routing/membership.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "fleet_fold.hpp"
+
+namespace almondcart {
+
+/// Registers agent incarnations on the budget shards. An agent gets work only after every shard has
+/// folded its start, because grant recovery asks exactly the registered incarnations.
+class agent_registrar
+{
+public:
+    agent_registrar(
+        fleet_fold const& fold,
+        membership const& members,
+        clock_function clock,
+        std::function<std::int64_t(int shard, record_body)> submit);
+
+    /// Takes an agent's heartbeat. Returns whether the incarnation is registered.
+    bool heard(process_id const& agent, std::string const& upstream);
+
+    /// The agent is drained and stops.
+    void stopped(process_id const& agent);
+
+private:
+    fleet_fold const& fold_;
+    membership const& members_;
+    clock_function clock_;
+    std::function<std::int64_t(int shard, record_body)> submit_;
+    std::map<process_id, instant> first_heard_; ///< of incarnations that are not registered
+    std::map<process_id, instant> submitted_;
+};
+
+} // namespace almondcart
--- /dev/null
+++ b/services/router/document_publisher.cpp
@@ -0,0 +1,90 @@
+#include "document_publisher.hpp"
+
+#include <almondcart/core/json_reader.hpp>
+#include <almondcart/core/status.hpp>
+#include <almondcart/document/service_document.hpp>
+
+#include <limits>
+#include <utility>
+
+namespace almondcart {
+
+namespace {
+
+constexpr duration confirmation_timeout{10'000};
+constexpr duration fold_poll{10};
+
+} // namespace
+
+document_publisher::document_publisher(
+    process_id self,
+    fleet_fold const& fold,
+    event_loop& loop,
+    std::function<std::int64_t(record_body)> submit)
+    : self_(std::move(self))
+    , fold_(fold)
+    , loop_(loop)
+    , submit_(std::move(submit))
+{}
+
+void document_publisher::publish(Json::Value const& params, reply_function const& reply)
+{
+    json_reader reader(params, "publish", result_code::malformed_request);
+    auto const document = reader.value_or_null("document");
+    auto const author = reader.string_or("author", "");
+    auto const given_base =
+        reader.integer_or("base_version", -1, std::numeric_limits<std::int64_t>::max(), -1);
+    if (auto status = reader.finish(); !status.ok())
+    {
+        reply(status);
+        return;
+    }
+    auto const parsed = service_document::parse(document, "document");
+    if (!parsed.ok())
+    {
+        reply(parsed.status());
+        return;
+    }
+    auto const& service = parsed->service();
+    auto const* current = fold_.configuration().find_document(service);
+    auto const in_force = current == nullptr ? 0 : current->version;
+    auto const base = given_base < 0 ? in_force : given_base;
+    auto const it = std::make_shared<pending>();
+    it->service = service;
+    it->reply = reply;
+    it->give_up_at = loop_.now() + confirmation_timeout;
+    it->sequence = submit_(publish_record{service, base, document, author});
+    check(it);
+}
+
+void document_publisher::check(std::shared_ptr<pending> const& it)
+{
+    auto const& configuration = fold_.configuration();
+    if (auto const* result = configuration.find_publish_result(self_, it->sequence))
+    {
+        if (!result->is_accepted)
+        {
+            it->reply(make_status(
+                result_code::publish_conflict,
+                result->reason + "; the version in force is " + std::to_string(result->version)));
+            return;
+        }
+        auto const* published = configuration.find_document(it->service);
+        Json::Value value(Json::objectValue);
+        value["service"] = it->service;
+        value["version"] = Json::Int64(result->version);
+        value["offset"] = Json::Int64(published == nullptr ? -1 : published->offset);
+        it->reply(value);
+        return;
+    }
+    if (loop_.now() >= it->give_up_at)
+    {
+        it->reply(make_status(
+            result_code::log_unavailable,
+            "the log has not confirmed the publication; it may still be accepted"));
+        return;
+    }
+    loop_.after(fold_poll, [this, it] { check(it); });
+}
+
+} // namespace almondcart
--- /dev/null
+++ b/services/router/front_end.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <almondcart/http/http_server.hpp>
+
+#include <functional>
+#include <memory>
+#include <set>
+
+#include "caller_request.hpp"
+#include "request_session.hpp"
+#include "router_context.hpp"
+
+namespace almondcart {
+
+/// Callers' HTTP interface.
+class front_end
+{
+public:
+    /// `is_ready` says whether the folds have caught up. All arguments outlive the front end.
+    front_end(router_context& context, http_server& server, std::function<bool()> is_ready);
+
+    /// Refuses new requests from now on; those in progress go on.
+    void begin_shutdown() { is_shutting_down_ = true; }
+
+    std::size_t session_count() const { return sessions_.size(); }
+
+private:
+    void serve(std::shared_ptr<http_exchange> const& exchange);
+    std::unique_ptr<request_session>
+    create_session(caller_request request, std::shared_ptr<http_exchange> exchange);
+
+    router_context& context_;
+    std::function<bool()> is_ready_;
+    std::set<std::shared_ptr<request_session>> sessions_;
+    bool is_shutting_down_ = false;
+};
+
+} // namespace almondcart
--- /dev/null
+++ b/services/router/idempotent_session.cpp
@@ -0,0 +1,316 @@
+#include "idempotent_session.hpp"
+
+#include <almondcart/core/json_reader.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace almondcart {
+
+namespace {
+
+constexpr int refusal_limit = 5;
+constexpr duration placement_timeout{500};
+constexpr duration look_up_timeout{500};
+constexpr duration suspect_poll{100};
+constexpr duration no_upstream_retry{1'000};
+
+/// Agents report a crash with the next heartbeat, which is sent each second.
+constexpr duration crash_report_wait{1'200};
+
+Json::Value to_array(std::set<std::string> const& values)
+{
+    Json::Value array(Json::arrayValue);
+    for (auto const& value : values)
+        array.append(value);
+    return array;
+}
+
+} // namespace
+
+void idempotent_session::begin()
+{
+    auto const& shard = context_.fold.shard_of_account(request_.id.account);
+    may_have_run_ = shard.find_request(request_.id) != nullptr;
+    if (is_blocked())
+    {
+        refuse_blocked();
+        return;
+    }
+    if (auto const* known = context_.directory.find(request_.id))
+    {
+        may_have_run_ = true;
+        if (known->fingerprint != request_.fingerprint)
+        {
+            refuse(result_code::request_key_reused, "the key belongs to a different request");
+            return;
+        }
+    }
+    place();
+}
+
+bool idempotent_session::is_blocked() const
+{
+    return context_.fold.configuration().is_blocked(request_.fingerprint) ||
+           context_.suspects.check(request_.fingerprint) == suspicion::blocked;
+}
+
+void idempotent_session::refuse_blocked()
+{
+    auto refused = make_refusal(
+        result_code::request_crashes_upstreams,
+        "requests with this content crashed the upstreams that ran them");
+    if (!may_have_run_)
+        refused.ran = ran_state::no;
+    refuse(refused);
+}
+
+void idempotent_session::place()
+{
+    if (!request_.chat)
+    {
+        reserve();
+        return;
+    }
+    auto& selector = pool_->selector();
+    auto const& prefix = request_.chat->prefix;
+    auto const home = selector.find_home(prefix, request_.chat->model);
+    auto const proposed = selector.select({prefix, request_.chat->model, {}, avoid_});
+    auto const* member = home ? context_.members.find_upstream(*home) : nullptr;
+    if (member == nullptr || !proposed)
+    {
+        refuse(make_refusal(
+            result_code::no_upstream, "no upstream can take this request now", no_upstream_retry));
+        return;
+    }
+    target_ = proposed->upstream;
+    Json::Value params(Json::objectValue);
+    params["fingerprint"] = request_.fingerprint;
+    params["proposed"] = proposed->upstream;
+    params["crashes"] = to_array(context_.suspects.crashes_of(request_.fingerprint));
+    params["unusable"] = to_array({avoid_.begin(), avoid_.end()});
+    context_.rpc.call(
+        member->address,
+        "place",
+        params,
+        placement_timeout,
+        [weak = weak_from_this()](absl::StatusOr<Json::Value> const& result)
+        {
+            auto const self = weak.lock();
+            if (self && !self->is_ended())
+                std::static_pointer_cast<idempotent_session>(self)->placed(result);
+        });
+}
+
+void idempotent_session::placed(absl::StatusOr<Json::Value> const& result)
+{
+    // Without an answer the proposal stands: a home agent that is out must not stop its prefixes.
+    if (result.ok())
+    {
+        auto const& placement = *result;
+        std::set<std::string> crashes;
+        for (auto const& crash : placement["crashes"])
+            crashes.insert(crash.asString());
+        context_.suspects.add(request_.fingerprint, crashes);
+        if (placement["state"].asString() == "refused" || is_blocked())
+        {
+            may_have_run_ = may_have_run_ || !crashes.empty();
+            refuse_blocked();
+            return;
+        }
+        auto const upstream = placement["upstream"].asString();
+        if (context_.members.is_usable(upstream))
+            target_ = upstream;
+    }
+    if (request_.message.request_key.empty() || attempt_ > 1)
+        reserve();
+    else
+        look_up();
+}
+
+void idempotent_session::look_up()
+{
+    auto const* member = context_.members.find_upstream(target_);
+    if (member == nullptr)
+    {
+        reserve();
+        return;
+    }
+    Json::Value params(Json::objectValue);
+    params["request"] = to_text(request_.id);
+    context_.rpc.call(
+        member->address,
+        "find_request",
+        params,
+        look_up_timeout,
+        [weak = weak_from_this()](absl::StatusOr<Json::Value> const& result)
+        {
+            auto const self = std::static_pointer_cast<idempotent_session>(weak.lock());
+            if (!self || self->is_ended())
+                return;
+            auto const state = result.ok() ? (*result)["state"].asString() : std::string();
+            bool const is_known = state == "running" || state == "finished";
+            self->may_have_run_ = self->may_have_run_ || is_known;
+            // Work that the agent knows needs no tokens and no slot.
+            if (!is_known || !self->attach_to(self->target_, -1))
+                self->reserve();
+        });
+}
+
+void idempotent_session::slot_granted()
+{
+    std::string upstream = target_;
+    bool const is_avoided = std::ranges::find(avoid_, upstream) != avoid_.end();
+    if (upstream.empty() || is_avoided || !context_.members.is_usable(upstream))
+    {
+        selection_request wanted;
+        wanted.avoid = avoid_;
+        if (request_.chat)
+        {
+            wanted.prompt = request_.chat->prefix;
+            wanted.model = request_.chat->model;
+        }
+        auto const selected = pool_->selector().select(wanted);
+        if (!selected)
+        {
+            refuse(make_refusal(result_code::no_upstream, "no usable upstream", no_upstream_retry));
+            return;
+        }
+        upstream = selected->upstream;
+    }
+    auto const suspicion = context_.suspects.check(request_.fingerprint);
+    if (suspicion == suspicion::blocked)
+    {
+        refuse_blocked();
+        return;
+    }
+    if (suspicion != suspicion::none)
+    {
+        runs_as_suspect_ = suspicion == suspicion::suspect &&
+                           context_.suspects.try_start(request_.fingerprint, upstream);
+        if (!runs_as_suspect_)
+        {
+            if (has_deadline_passed())
+                refuse(
+                    result_code::deadline_passed,
+                    "the request waits for another one that ran when an upstream crashed");
+            else
+                after(suspect_poll, [this] { slot_granted(); });
+            return;
+        }
+    }
+    if (attempt_ == 1)
+        context_.retries.count_request();
+    if (!dispatch_to(upstream, -1))
+        run_elsewhere();
+}
+
+void idempotent_session::attempt_refused(work_refusal const& refused)
+{
+    finish_suspect(suspect_result::not_run);
+    if (++refusals_ > refusal_limit)
+    {
+        refuse(make_refusal(
+            result_code::no_upstream, "all upstreams that were tried refused", no_upstream_retry));
+        return;
+    }
+    if (is_attached_ || refused.code == result_code::grant_closed ||
+        refused.code == result_code::request_fenced)
+    {
+        next_attempt(refused.next_attempt);
+        return;
+    }
+    run_elsewhere();
+}
+
+void idempotent_session::attempt_unsent()
+{
+    finish_suspect(suspect_result::not_run);
+    if (++refusals_ > refusal_limit)
+    {
+        refuse(
+            make_refusal(result_code::no_upstream, "no agent could be reached", no_upstream_retry));
+        return;
+    }
+    run_elsewhere();
+}
+
+void idempotent_session::run_elsewhere()
+{
+    if (is_ended())
+        return;
+    release_attempt();
+    avoid_.push_back(upstream_.empty() ? target_ : upstream_);
+    ++attempt_;
+    place();
+}
+
+void idempotent_session::attempt_lost()
+{
+    finish_suspect(suspect_result::lost);
+    abandon_attempt();
+    failed_attempt const failed{true, response_->is_started()};
+    if (!may_run_twice())
+    {
+        refuse(
+            result_code::outcome_unknown,
+            "contact was lost while the request ran, and its budget does not allow a second run");
+        return;
+    }
+    if (!context_.retries.try_retry(failed))
+    {
+        refuse(result_code::upstream_lost, "contact to the upstream was lost");
+        return;
+    }
+    run_elsewhere();
+}
+
+void idempotent_session::attempt_failed(final_frame const& frame)
+{
+    finish_suspect(suspect_result::ended);
+    failed_attempt const failed{true, response_->is_started()};
+    if (frame.code != result_code::upstream_lost || !context_.retries.try_retry(failed))
+    {
+        refuse(frame.code, frame.data);
+        return;
+    }
+    retry_after_crash(context_.loop.now() + crash_report_wait, frame);
+}
+
+void idempotent_session::retry_after_crash(instant give_up_at, final_frame const& frame)
+{
+    // The retry must know whether this request is a suspect, which the agent's next heartbeat
+    // tells.
+    bool const is_known = context_.suspects.check(request_.fingerprint) != suspicion::none;
+    if (is_known || context_.loop.now() >= give_up_at)
+    {
+        if (is_blocked())
+            refuse_blocked();
+        else
+            run_elsewhere();
+        return;
+    }
+    after(suspect_poll, [this, give_up_at, frame] { retry_after_crash(give_up_at, frame); });
+}
+
+void idempotent_session::attempt_completed(final_frame const&)
+{
+    finish_suspect(suspect_result::completed);
+}
+
+void idempotent_session::finish_suspect(suspect_result result)
+{
+    if (!runs_as_suspect_)
+        return;
+    runs_as_suspect_ = false;
+    context_.suspects.finished(request_.fingerprint, result);
+}
+
+bool idempotent_session::may_run_twice() const
+{
+    auto const* budget =
+        context_.fold.shard_of_account(request_.id.account).find_budget(request_.budget);
+    return budget == nullptr || budget->preference == budget_preference::false_refusals;
+}
+
+} // namespace almondcart
--- /dev/null
+++ b/services/router/limit_publisher.cpp
@@ -0,0 +1,64 @@
+#include "limit_publisher.hpp"
+
+#include <utility>
+
+namespace almondcart {
+
+namespace {
+
+constexpr duration takeover_delay{2'000};
+constexpr duration repeat_interval{10'000};
+
+} // namespace
+
+limit_publisher::limit_publisher(
+    fleet_fold const& fold,
+    membership const& members,
+    clock_function clock,
+    std::function<std::int64_t(record_body)> submit)
+    : fold_(fold)
+    , members_(members)
+    , clock_(std::move(clock))
+    , submit_(std::move(submit))
+{}
+
+void limit_publisher::tick()
+{
+    for (auto const& [service, published] : fold_.configuration().documents())
+        compare(*published.document, published.version);
+}
+
+// FIXME: A budget that a new document no longer lists keeps its last total on its shard. Its
+// callers are refused, because the document decides which budgets exist, but its tokens stay
+// allocated.
+void limit_publisher::compare(service_document const& document, std::int64_t version)
+{
+    auto const now = clock_();
+    for (auto const& budget : document.budgets())
+    {
+        budget_id const id{{document.service(), budget.account}, budget.name};
+        if (is_equal(id, budget))
+        {
+            differences_.erase(id);
+            continue;
+        }
+        auto& it = differences_.try_emplace(id, difference{now, now, version, false}).first->second;
+        if (it.document_version != version)
+            it = difference{now, now, version, false};
+        bool const is_turn = members_.acts_first(to_text(id)) || now - it.since >= takeover_delay;
+        if (!is_turn || (it.is_submitted && now - it.submitted < repeat_interval))
+            continue;
+        it.is_submitted = true;
+        it.submitted = now;
+        submit_(limit_record{id, budget.total_tokens, budget.preference, version});
+    }
+}
+
+bool limit_publisher::is_equal(budget_id const& id, budget_definition const& budget) const
+{
+    auto const* entry = fold_.shard_of_account(id.account).find_budget(id);
+    return entry != nullptr && entry->total == budget.total_tokens &&
+           entry->preference == budget.preference;
+}
+
+} // namespace almondcart
--- /dev/null
+++ b/services/router/limit_publisher.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <almondcart/core/clock.hpp>
+#include <almondcart/routing/membership.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "fleet_fold.hpp"
+
+namespace almondcart {
+
+/// Copies the totals of the documents in force into the budget shards, so that each shard's fold
+/// decides about grants without looking at another stream.
+class limit_publisher
+{
+public:
+    limit_publisher(
+        fleet_fold const& fold,
+        membership const& members,
+        clock_function clock,
+        std::function<std::int64_t(record_body)> submit);
+
+    /// Submits limits that the shards lack. Another router does so if the one that acts first does
+    /// not.
+    void tick();
+
+private:
+    struct difference
+    {
+        instant since;
+        instant submitted;
+        std::int64_t document_version = 0;
+        bool is_submitted = false;
+    };
+
+    void compare(service_document const& document, std::int64_t version);
+    bool is_equal(budget_id const& id, budget_definition const& budget) const;
+
+    fleet_fold const& fold_;
+    membership const& members_;
+    clock_function clock_;
+    std::function<std::int64_t(record_body)> submit_;
+    std::map<budget_id, difference> differences_;
+};
+
+} // namespace almondcart
--- /dev/null
+++ b/services/router/peer_links.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <almondcart/core/event_journal.hpp>
+#include <almondcart/http/event_loop.hpp>
+#include <almondcart/http/json_rpc_client.hpp>
+#include <almondcart/routing/membership.hpp>
+
+#include <json/json.h>
+
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fleet_fold.hpp"
+
+namespace almondcart {
+
+/// Heartbeats to the other routers, and the configuration that they know and this router does not.
+class peer_links
+{
+public:
+    struct hooks
+    {
+        std::function<bool()> is_leaving;
+        /// Whether a stream's fold may be replaced by a peer's, because the log does not serve it.
+        std::function<bool()> needs_snapshots;
+        /// The configuration was replaced by a peer's newer one.
+        std::function<void(std::string const& stream)> replaced;
+    };
+
+    peer_links(
+        process_id self,
+        std::string own_address,
+        std::vector<std::string> addresses,
+        fleet_fold& fold,
+        membership& members,
+        json_rpc_client& rpc,
+        hooks hooks);
+
+    /// Sends a heartbeat to each peer. Called each second.
+    void send_heartbeats();
+
+    /// Heartbeat of this router, also the reply to a peer's heartbeat.
+    Json::Value heartbeat() const;
+
+    /// Takes a peer's heartbeat or its reply. Errors carry `malformed_request`.
+    absl::Status receive(Json::Value const& value);
+
+    /// Calls `method` of all live peers and ignores the results.
+    void notify_all(std::string const& method, Json::Value const& params);
+
+private:
+    void fetch_configuration(std::string const& address);
+    void fetch_shard(std::string const& address, int shard);
+
+    process_id self_;
+    std::string own_address_;
+    std::vector<std::string> addresses_;
+    fleet_fold& fold_;
+    membership& members_;
+    json_rpc_client& rpc_;
+    hooks hooks_;
+    std::set<std::string> fetching_; ///< streams that are being fetched
+};
+
+} // namespace almondcart
--- /dev/null
+++ b/services/router/usage_acknowledger.cpp
@@ -0,0 +1,68 @@
+#include "usage_acknowledger.hpp"
+
+#include <utility>
+
+namespace almondcart {
+
+namespace {
+
+constexpr duration acknowledge_timeout{2'000};
+
+} // namespace
+
+usage_acknowledger::usage_acknowledger(
+    fleet_fold const& fold,
+    membership const& members,
+    json_rpc_client& rpc)
+    : fold_(fold)
+    , members_(members)
+    , rpc_(rpc)
+{}
+
+void usage_acknowledger::expect(request_id const& id, std::string const& upstream)
+{
+    auto const* entry = fold_.shard_of_account(id.account).find_request(id);
+    if (entry != nullptr && entry->is_billed)
+    {
+        due_[upstream].insert(id);
+        return;
+    }
+    if (!expected_.insert_or_assign(id, upstream).second)
+        return;
+    order_.push_back(id);
+    if (order_.size() <= expected_limit)
+        return;
+    expected_.erase(order_.front());
+    order_.pop_front();
+}
+
+void usage_acknowledger::folded(usage_record const& usage)
+{
+    for (auto const& item : usage.items)
+    {
+        auto node = expected_.extract(item.request);
+        if (!node.empty())
+            due_[node.mapped()].insert(item.request);
+    }
+}
+
+void usage_acknowledger::tick()
+{
+    for (auto const& [upstream, requests] : std::exchange(due_, {}))
+        send(upstream, requests);
+}
+
+void usage_acknowledger::send(std::string const& upstream, std::set<request_id> const& requests)
+{
+    auto const* member = members_.find_upstream(upstream);
+    if (member == nullptr)
+        return;
+    Json::Value params(Json::objectValue);
+    params["requests"] = Json::Value(Json::arrayValue);
+    for (auto const& id : requests)
+        params["requests"].append(to_text(id));
+    // A lost acknowledgement is repeated when the agent offers the usage again.
+    rpc_.call(member->address, "acknowledge", params, acknowledge_timeout, [](auto const&) {});
+}
+
+} // namespace almondcart
--- /dev/null
+++ b/utilities/cli/output.hpp
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <absl/status/status.h>
+
+#include "commands.hpp"
+
+namespace almondcart {
+
+/// Prints "error NUMBER NAME: message" to standard error and returns the exit code for it.
+exit_code report_error(absl::Status const& status);
+
+} // namespace almondcart
--- /dev/null
+++ b/utilities/cli/show_timeline.cpp
@@ -0,0 +1,55 @@
+#include <iostream>
+
+#include "commands.hpp"
+#include "output.hpp"
+#include "timeline_view.hpp"
+
+namespace almondcart {
+
+namespace {
+
+bool matches(timeline_event const& it, timeline_options const& options)
+{
+    bool const is_request = options.request.empty() || it.request == options.request ||
+                            it.request.ends_with("#" + options.request);
+    return is_request && (options.budget.empty() || it.budget == options.budget) &&
+           (options.upstream.empty() || it.upstream == options.upstream);
+}
+
+} // namespace
+
+exit_code show_timeline(fleet_client& client, timeline_options const& options)
+{
+    auto const processes = client.processes(options.router);
+    if (!processes.ok())
+        return report_error(processes.status());
+    std::vector<std::string> addresses;
+    for (auto const& it : *processes)
+        addresses.push_back(it.address);
+    auto const journals = client.fetch_all(addresses, "/timeline");
+
+    std::vector<timeline_event> events;
+    for (std::size_t i = 0; i < journals.size(); ++i)
+    {
+        if (!journals[i].ok())
+        {
+            std::cerr << "warning: no time line from " << (*processes)[i].process << "\n";
+            continue;
+        }
+        for (auto& it : read_journal(*journals[i]))
+        {
+            if (matches(it, options))
+                events.push_back(std::move(it));
+        }
+    }
+    sort_causally(events);
+    if (options.format == "json")
+        std::cout << timeline_json(events);
+    else if (options.format == "html")
+        std::cout << timeline_html(events);
+    else
+        std::cout << timeline_text(events);
+    return exit_code::success;
+}
+
+} // namespace almondcart
