--- a/libraries/routing/include/almondcart/routing/upstream_selector.hpp
+++ b/libraries/routing/include/almondcart/routing/upstream_selector.hpp
@@ -116,6 +116,9 @@
     /// Requests at the upstream by the corrected report.
     int load_of(std::string const& upstream) const;
 
+    /// Requests that this router has sent to the upstream since it started or restarted.
+    std::uint64_t dispatched_count(std::string const& upstream) const;
+
     /// Requests of this router at the upstream.
     int in_flight(std::string const& upstream) const;
 
--- a/libraries/routing/src/upstream_selector.cpp
+++ b/libraries/routing/src/upstream_selector.cpp
@@ -197,6 +197,12 @@
     return it == upstreams_.end() ? 0 : load_of(it->second);
 }
 
+std::uint64_t upstream_selector::dispatched_count(std::string const& upstream) const
+{
+    auto const it = upstreams_.find(upstream);
+    return it == upstreams_.end() ? 0 : it->second.dispatched;
+}
+
 int upstream_selector::in_flight(std::string const& upstream) const
 {
     auto const it = upstreams_.find(upstream);
--- a/services/router/router.cpp
+++ b/services/router/router.cpp
@@ -347,6 +347,7 @@
             grant_report report;
             report.finished = read_usage_items(reader, "finished");
             report.running = static_cast<int>(reader.integer("running", 0, 1'000'000));
+            static_cast<void>(reader.value_or_null("config_offset"));
             if(auto status = reader.finish(); !status.ok())
             {
                 done(status);
@@ -384,14 +385,14 @@
 void router::serve_pages(http_server& server)
 {
     auto const answer = [](http_exchange& exchange, Json::Value const& value) {
-        exchange.respond(http_ok, "application/json", to_compact_json(value));
+        exchange.respond_text(http_ok, "application/json", to_compact_json(value));
     };
     server.route("GET", "/healthz", [](std::shared_ptr<http_exchange> const& it) {
-        it->respond(http_ok, "text/plain", "ok\n");
+        it->respond_text(http_ok, "text/plain", "ok\n");
     });
     server.route("GET", "/readyz", [this](std::shared_ptr<http_exchange> const& it) {
         bool const is_ready = log_.has_caught_up() && !is_stopping_;
-        it->respond(
+        it->respond_text(
             is_ready ? http_ok : http_unavailable, "text/plain", is_ready ? "ready\n" : "not ready\n");
     });
     server.route("GET", "/status", [this, answer](std::shared_ptr<http_exchange> const& it) {
