HTTP: Add event loop, server, client, JSON-RPC and metrics

The processes need one event loop, HTTP/1.1 in both directions, JSON-RPC with late replies, and metrics, all on one thread.

h2o's own timeouts follow the wall clock, so all timeouts that decide something use the loop's CLOCK_BOOTTIME timers. h2o does not read from a connection while its request is answered; a second epoll descriptor reports clients that go away. h2o's client reports a chunked body as complete when the connection is closed between two chunks; the client here reports it as incomplete. libjsonrpccpp asks for results at once; markers in its response are replaced when the methods have replied. Only a connection that was never established is reported as unsent.

--- /dev/null
+++ b/libraries/http/include/almondcart/http/json_rpc_client.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <almondcart/core/event_journal.hpp>
+#include <almondcart/http/http_client.hpp>
+
+#include <absl/status/statusor.h>
+#include <json/json.h>
+
+#include <functional>
+#include <string>
+
+namespace almondcart {
+
+/// JSON-RPC 2.0 client over `POST /rpc`.
+class json_rpc_client
+{
+public:
+    using result_callback = std::function<void(absl::StatusOr<Json::Value>)>;
+
+    /// The client and the journal must outlive this object and its calls.
+    json_rpc_client(event_loop& loop, http_client& client, event_journal& journal);
+
+    /// Calls `method` of the process at `address`. `callback` gets its result, the status the
+    /// method failed with, or an error of `http_client`; `upstream_lost` if there is no whole
+    /// response within `timeout`. A peer that does not answer as JSON-RPC gives `upstream_failed`.
+    http_call call(
+        std::string const& address,
+        std::string const& method,
+        Json::Value const& params,
+        duration timeout,
+        result_callback callback);
+
+private:
+    event_loop& loop_;
+    http_client& client_;
+    event_journal& journal_;
+};
+
+} // namespace almondcart
--- /dev/null
+++ b/libraries/http/src/client_call.cpp
@@ -0,0 +1,273 @@
+#include "client_call.hpp"
+
+#include <almondcart/core/status.hpp>
+
+#include <absl/strings/cord.h>
+
+#include <utility>
+
+namespace almondcart {
+
+namespace {
+
+constexpr absl::string_view unsent_payload_url = "almondcart/request-unsent";
+
+absl::Status unsent_status(std::string const& detail)
+{
+    auto status = make_status(result_code::no_upstream, detail);
+    status.SetPayload(unsent_payload_url, absl::Cord("1"));
+    return status;
+}
+
+/// Sets a flag while h2o runs one of the callbacks.
+class flag_scope
+{
+public:
+    explicit flag_scope(bool& flag)
+        : flag_(flag)
+    {
+        flag_ = true;
+    }
+    ~flag_scope() { flag_ = false; }
+    flag_scope(flag_scope const&) = delete;
+    flag_scope& operator=(flag_scope const&) = delete;
+
+private:
+    bool& flag_;
+};
+
+} // namespace
+
+bool is_request_unsent(absl::Status const& status)
+{
+    return status.GetPayload(unsent_payload_url).has_value();
+}
+
+namespace detail {
+
+client_call::client_call(http_client::state& client, http_request request, http_callbacks callbacks)
+    : client_(&client)
+    , request_(std::move(request))
+    , callbacks_(std::move(callbacks))
+{}
+
+client_call::~client_call()
+{
+    timeout_.cancel();
+}
+
+void client_call::start()
+{
+    auto const address = socket_address::parse(request_.address);
+    if (!address.ok())
+    {
+        flag_scope const scope(is_starting_);
+        end(make_status(result_code::internal_error, std::string(address.status().message())));
+        return;
+    }
+    build_head();
+    set_timeout(request_.connect_timeout, "connection not established in time");
+    flag_scope const scope(is_starting_);
+    pool_ = request_.is_connection_reusable
+                ? client_->pool_for(request_.address)
+                : std::make_shared<connection_pool>(client_->loop, *address);
+    pool_->begin_call();
+    h2o_http1client_connect_with_pool(
+        &native_, this, &client_->context, pool_->native(), on_connect);
+}
+
+void client_call::build_head()
+{
+    head_ = request_.method + " " + request_.path + " HTTP/1.1\r\nhost: " + request_.address +
+            "\r\nconnection: " + (request_.is_connection_reusable ? "keep-alive" : "close") +
+            "\r\n";
+    if (!request_.body.empty() || request_.method == "POST" || request_.method == "PUT")
+        head_ += "content-length: " + std::to_string(request_.body.size()) + "\r\n";
+    for (auto const& [name, value] : request_.headers)
+        head_ += name + ": " + value + "\r\n";
+    head_ += "\r\n";
+}
+
+void client_call::set_timeout(duration timeout, char const* what)
+{
+    timeout_.cancel();
+    if (timeout <= duration(0))
+        return;
+    timeout_ = client_->loop.after(
+        timeout,
+        [this, what]
+        {
+            auto const keep = shared_from_this();
+            auto const detail = request_.address + ": " + what;
+            close_connection();
+            end(is_sent_ ? make_status(result_code::upstream_lost, detail) : unsent_status(detail));
+        });
+}
+
+void client_call::close_connection()
+{
+    if (native_ == nullptr)
+        return;
+    if (is_in_h2o_)
+        is_cancelled_ = true;
+    else
+        h2o_http1client_cancel(std::exchange(native_, nullptr));
+}
+
+void client_call::cancel()
+{
+    if (client_ == nullptr)
+        return;
+    auto const keep = shared_from_this();
+    callbacks_ = {};
+    close_connection();
+    end(absl::CancelledError());
+}
+
+void client_call::end(absl::Status status)
+{
+    if (client_ == nullptr)
+        return;
+    timeout_.cancel();
+    auto const keep = shared_from_this();
+    auto& client = *std::exchange(client_, nullptr);
+    if (pool_ != nullptr)
+    {
+        pool_->end_call(client.loop.now());
+        // h2o returns the connection to the pool after this callback.
+        client.loop.post([pool = std::move(pool_)] {});
+    }
+    client.remove(this);
+    auto callback = std::exchange(callbacks_, {}).on_done;
+    if (callback == nullptr)
+        return;
+    if (is_starting_)
+        client.loop.post([callback = std::move(callback), status = std::move(status)]
+                         { callback(status); });
+    else
+        callback(std::move(status));
+}
+
+h2o_http1client_head_cb client_call::on_connect(
+    h2o_http1client_t* native,
+    char const* error,
+    h2o_iovec_t** buffers,
+    std::size_t* buffer_count,
+    int* is_head_method)
+{
+    auto const self = static_cast<client_call*>(native->data)->shared_from_this();
+    if (error != nullptr)
+    {
+        self->native_ = nullptr;
+        self->end(unsent_status(self->request_.address + ": " + error));
+        return nullptr;
+    }
+    self->is_sent_ = true;
+    self->set_timeout(self->request_.first_byte_timeout, "no response in time");
+    auto const& body = self->request_.body;
+    self->buffers_[0] = h2o_iovec_init(self->head_.data(), self->head_.size());
+    self->buffers_[1] = h2o_iovec_init(body.data(), body.size());
+    *buffers = self->buffers_;
+    *buffer_count = body.empty() ? 1 : 2;
+    *is_head_method = self->request_.method == "HEAD" ? 1 : 0;
+    return on_head;
+}
+
+h2o_http1client_body_cb client_call::on_head(
+    h2o_http1client_t* native,
+    char const* error,
+    int /*minor_version*/,
+    int status,
+    h2o_iovec_t /*message*/,
+    h2o_header_t* headers,
+    std::size_t header_count,
+    int /*head_size*/)
+{
+    auto const self = static_cast<client_call*>(native->data)->shared_from_this();
+    bool const is_complete = error == h2o_http1client_error_is_eos;
+    if (error != nullptr && !is_complete)
+    {
+        self->native_ = nullptr;
+        self->end(make_status(
+            result_code::upstream_lost, self->request_.address + ": " + std::string(error)));
+        return nullptr;
+    }
+    http_response_head head{status, {}};
+    for (std::size_t i = 0; i < header_count; ++i)
+        head.headers.emplace_back(
+            std::string(headers[i].name->base, headers[i].name->len),
+            std::string(headers[i].value.base, headers[i].value.len));
+    self->is_chunked_ = find_header(head.headers, "transfer-encoding").has_value();
+    if (is_complete)
+        self->native_ = nullptr;
+    else
+        self->set_timeout(self->request_.idle_timeout, "response stopped");
+    {
+        flag_scope const scope(self->is_in_h2o_);
+        if (self->callbacks_.on_headers != nullptr)
+        {
+            auto const callback = self->callbacks_.on_headers;
+            callback(head);
+        }
+    }
+    if (self->is_cancelled_)
+    {
+        self->native_ = nullptr;
+        return nullptr;
+    }
+    if (is_complete)
+    {
+        self->end(absl::OkStatus());
+        return nullptr;
+    }
+    return on_body;
+}
+
+bool client_call::receive_body()
+{
+    auto& input = native_->sock->input;
+    if (input->size != 0 && callbacks_.on_body != nullptr)
+    {
+        flag_scope const scope(is_in_h2o_);
+        auto const callback = callbacks_.on_body;
+        callback(std::string_view(input->bytes, input->size));
+    }
+    h2o_buffer_consume(&input, input->size);
+    return !is_cancelled_;
+}
+
+int client_call::on_body(h2o_http1client_t* native, char const* error)
+{
+    auto const self = static_cast<client_call*>(native->data)->shared_from_this();
+    bool const is_complete = error == h2o_http1client_error_is_eos;
+    if (error != nullptr && !is_complete)
+    {
+        self->native_ = nullptr;
+        self->end(make_status(
+            result_code::upstream_lost, self->request_.address + ": " + std::string(error)));
+        return -1;
+    }
+    // h2o reports a chunked body as complete when the connection is closed between two chunks. The
+    // last chunk arrives with bytes; a closed connection does not.
+    if (is_complete && self->is_chunked_ && native->sock->bytes_read == 0)
+    {
+        self->native_ = nullptr;
+        self->end(make_status(
+            result_code::upstream_lost, self->request_.address + ": response is incomplete"));
+        return -1;
+    }
+    bool const is_continued = self->receive_body();
+    if (!is_continued || is_complete)
+        self->native_ = nullptr;
+    if (!is_continued)
+        return -1;
+    if (is_complete)
+        self->end(absl::OkStatus());
+    else
+        self->set_timeout(self->request_.idle_timeout, "response stopped");
+    return 0;
+}
+
+} // namespace detail
+
+} // namespace almondcart
--- /dev/null
+++ b/libraries/http/src/client_call.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <almondcart/http/http_client.hpp>
+
+#include <h2o.h>
+
+#include <memory>
+#include <string>
+
+#include "connection_pool.hpp"
+#include "http_client_state.hpp"
+
+namespace almondcart::detail {
+
+/// Request in progress.
+class client_call : public std::enable_shared_from_this<client_call>
+{
+public:
+    client_call(http_client::state& client, http_request request, http_callbacks callbacks);
+    ~client_call();
+    client_call(client_call const&) = delete;
+    client_call& operator=(client_call const&) = delete;
+
+    void start();
+    void cancel();
+
+private:
+    static h2o_http1client_head_cb on_connect(
+        h2o_http1client_t* native,
+        char const* error,
+        h2o_iovec_t** buffers,
+        std::size_t* buffer_count,
+        int* is_head_method);
+    static h2o_http1client_body_cb on_head(
+        h2o_http1client_t* native,
+        char const* error,
+        int minor_version,
+        int status,
+        h2o_iovec_t message,
+        h2o_header_t* headers,
+        std::size_t header_count,
+        int head_size);
+    static int on_body(h2o_http1client_t* native, char const* error);
+
+    void build_head();
+    void set_timeout(duration timeout, char const* what);
+    void close_connection();
+    void end(absl::Status status);
+    bool receive_body();
+
+    http_client::state* client_; ///< null after the end
+    http_request request_;
+    http_callbacks callbacks_;
+    std::shared_ptr<connection_pool> pool_;
+    h2o_http1client_t* native_ = nullptr;
+    std::string head_;
+    h2o_iovec_t buffers_[2]{};
+    timer timeout_;
+    bool is_starting_ = false;
+    bool is_sent_ = false;   ///< bytes of the request may have been sent
+    bool is_in_h2o_ = false; ///< h2o has called, and closes the connection on a negative result
+    bool is_cancelled_ = false;
+    bool is_chunked_ = false; ///< the response has a transfer coding
+};
+
+} // namespace almondcart::detail
--- /dev/null
+++ b/libraries/http/src/exchange_link.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <almondcart/http/http_exchange.hpp>
+
+#include <h2o.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace almondcart::detail {
+
+class server_core;
+
+/// Connection between h2o's request and an exchange. Lives in the memory pool of the request, so
+/// its destruction tells that h2o has released the request.
+struct exchange_link
+{
+    h2o_generator_t generator; ///< first member: h2o's callbacks receive its address
+    h2o_req_t* request;
+    std::shared_ptr<server_core> core;
+    std::weak_ptr<http_exchange> exchange;
+    std::shared_ptr<http_exchange> started_exchange; ///< keeps it while a response is being sent
+    std::string in_flight;                           ///< data h2o is sending
+    bool is_sending;
+    int fd;
+    std::uint64_t id;
+
+    static exchange_link& create(
+        h2o_req_t* request,
+        std::shared_ptr<server_core> core,
+        std::shared_ptr<http_exchange> const&);
+
+    void begin(int status, http_headers const& headers, std::size_t content_length);
+    void send(h2o_send_state_t state);
+
+    /// Closes the connection.
+    void close() const;
+
+    ~exchange_link();
+};
+
+} // namespace almondcart::detail
--- /dev/null
+++ b/libraries/http/src/server_core.cpp
@@ -0,0 +1,279 @@
+#include "server_core.hpp"
+
+#include <almondcart/core/status.hpp>
+
+#include <h2o/http1.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <utility>
+
+#include "exchange_link.hpp"
+
+namespace almondcart::detail {
+
+namespace {
+
+/// Connections accepted per event, so that other events get their turn.
+constexpr int accept_batch_limit = 64;
+
+/// Time a client may take to send a request, and for which an idle connection stays open. It is
+/// well above the time for which `http_client` keeps idle connections, so that a client rarely
+/// sends a request on a connection that the server is closing.
+constexpr std::uint64_t request_timeout_ms = 60'000;
+
+bool matches_prefix(std::string_view path, std::string_view prefix)
+{
+    if (!path.starts_with(prefix))
+        return false;
+    return path.size() == prefix.size() || prefix.ends_with('/') || path[prefix.size()] == '/';
+}
+
+std::string to_string(h2o_iovec_t const& text)
+{
+    return text.base == nullptr ? std::string() : std::string(text.base, text.len);
+}
+
+} // namespace
+
+server_core::server_core(event_loop& loop, http_server_settings settings, socket_address address)
+    : loop_(loop)
+    , settings_(std::move(settings))
+    , address_(address)
+{
+    h2o_config_init(&configuration_);
+    configuration_.server_name = h2o_iovec_init("almondcart", std::strlen("almondcart"));
+    configuration_.max_request_entity_size = settings_.body_limit;
+    configuration_.http1.req_timeout = request_timeout_ms;
+    configuration_.http1.upgrade_to_http2 = 0;
+    auto* const host = h2o_config_register_host(
+        &configuration_, h2o_iovec_init("default", std::strlen("default")), 65535);
+    auto* const path = h2o_config_register_path(host, "/", 0);
+    auto* const handler =
+        reinterpret_cast<request_handler*>(h2o_create_handler(path, sizeof(request_handler)));
+    handler->core = this;
+    handler->super.on_req = [](h2o_handler_t* self, h2o_req_t* request)
+    {
+        reinterpret_cast<request_handler*>(self)->core->handle_request(request);
+        return 0;
+    };
+    h2o_context_init(&context_, loop_.native(), &configuration_);
+    accept_context_.ctx = &context_;
+    accept_context_.hosts = configuration_.hosts;
+    disconnect_fd_ = epoll_create1(EPOLL_CLOEXEC);
+    disconnect_watch_ = loop_.watch(disconnect_fd_, [this] { handle_disconnects(); });
+}
+
+server_core::~server_core()
+{
+    close_listener();
+    loop_.unwatch(disconnect_watch_);
+    h2o_context_dispose(&context_);
+    h2o_config_dispose(&configuration_);
+}
+
+absl::Status server_core::open_listener()
+{
+    auto const error = [this](char const* step)
+    {
+        return make_status(
+            result_code::invalid_settings,
+            address_.to_text() + ": " + step + " failed: " + std::strerror(errno));
+    };
+    if (listener_ != nullptr)
+        return absl::OkStatus();
+    int const fd = socket(address_.family(), SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0)
+        return error("socket");
+    int const enabled = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+    if (bind(fd, address_.native(), address_.size()) != 0)
+    {
+        auto const status = error("bind");
+        ::close(fd);
+        return status;
+    }
+    if (listen(fd, SOMAXCONN) != 0)
+    {
+        auto const status = error("listen");
+        ::close(fd);
+        return status;
+    }
+    address_ = socket_address::of_socket(fd);
+    listener_fd_ = fd;
+    listener_ = loop_.watch(fd, [this] { accept_connections(); });
+    return absl::OkStatus();
+}
+
+void server_core::close_listener()
+{
+    if (listener_ == nullptr)
+        return;
+    loop_.unwatch(listener_);
+    listener_ = nullptr;
+}
+
+void server_core::accept_connections()
+{
+    for (int i = 0; i < accept_batch_limit && listener_ != nullptr; ++i)
+    {
+        auto* const socket = h2o_evloop_socket_accept(listener_);
+        if (socket == nullptr)
+            return;
+        connections_.insert(socket);
+        struct close_data
+        {
+            std::shared_ptr<server_core> core;
+            h2o_socket_t* socket;
+        };
+        socket->on_close.data = new close_data{shared_from_this(), socket};
+        socket->on_close.cb = [](void* data)
+        {
+            std::unique_ptr<close_data> const closed(static_cast<close_data*>(data));
+            closed->core->remove_connection(closed->socket);
+        };
+        h2o_accept(&accept_context_, socket);
+    }
+}
+
+void server_core::remove_connection(h2o_socket_t* socket)
+{
+    connections_.erase(socket);
+    if (is_retired_ && connections_.empty())
+        loop_.release(this);
+}
+
+void server_core::handle_request(h2o_req_t* request)
+{
+    std::shared_ptr<http_exchange> const exchange(new http_exchange);
+    exchange->method_ = to_string(request->method);
+    auto const target = to_string(request->path);
+    auto const question_mark = target.find('?');
+    exchange->path_ = target.substr(0, question_mark);
+    if (question_mark != std::string::npos)
+        exchange->query_ = target.substr(question_mark + 1);
+    exchange->body_ = to_string(request->entity);
+    for (std::size_t i = 0; i < request->headers.size; ++i)
+    {
+        auto const& header = request->headers.entries[i];
+        exchange->headers_.emplace_back(to_string(*header.name), to_string(header.value));
+    }
+    exchange->link_ = &exchange_link::create(request, shared_from_this(), exchange);
+    dispatch(exchange);
+}
+
+void server_core::dispatch(std::shared_ptr<http_exchange> const& exchange)
+{
+    route_entry const* best = nullptr;
+    bool has_path = false;
+    for (auto const& it : routes_)
+    {
+        if (!matches_prefix(exchange->path(), it.prefix))
+            continue;
+        has_path = true;
+        if (it.method != "*" && it.method != exchange->method())
+            continue;
+        if (best == nullptr || it.prefix.size() > best->prefix.size())
+            best = &it;
+    }
+    if (best != nullptr)
+    {
+        auto const handle = best->handle;
+        handle(exchange);
+        return;
+    }
+    if (has_path)
+        exchange->respond_text(405, "text/plain", "method not allowed\n");
+    else
+        exchange->respond_text(404, "text/plain", "no such path\n");
+}
+
+void server_core::add_route(std::string method, std::string prefix, http_server::handler handle)
+{
+    routes_.push_back({std::move(method), std::move(prefix), std::move(handle)});
+}
+
+void server_core::add(exchange_link& link)
+{
+    link.id = next_link_id_++;
+    links_.emplace(link.id, &link);
+    // h2o does not read from a connection while its request is being answered, so a client that
+    // goes away is noticed here. Edge-triggered, so a request sent ahead does not wake the loop.
+    epoll_event event{};
+    event.events = EPOLLRDHUP | EPOLLET;
+    event.data.u64 = link.id;
+    epoll_ctl(disconnect_fd_, EPOLL_CTL_ADD, link.fd, &event);
+}
+
+void server_core::remove(exchange_link const& link)
+{
+    epoll_ctl(disconnect_fd_, EPOLL_CTL_DEL, link.fd, nullptr);
+    links_.erase(link.id);
+    check_stopped();
+}
+
+void server_core::handle_disconnects()
+{
+    std::array<epoll_event, 64> events{};
+    int const count = epoll_wait(disconnect_fd_, events.data(), static_cast<int>(events.size()), 0);
+    auto const keep = shared_from_this();
+    for (int i = 0; i < count; ++i)
+    {
+        auto const it = links_.find(events.at(static_cast<std::size_t>(i)).data.u64);
+        if (it == links_.end())
+            continue;
+        auto& link = *it->second;
+        if (auto const exchange = link.exchange.lock())
+            exchange->set_disconnected();
+        else
+            link.close();
+    }
+}
+
+void server_core::drop_connections()
+{
+    for (auto* const socket : connections_)
+        shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+}
+
+void server_core::stop(std::function<void()> done)
+{
+    close_listener();
+    is_stopping_ = true;
+    stopped_callback_ = std::move(done);
+    check_stopped();
+}
+
+void server_core::check_stopped()
+{
+    if (!is_stopping_ || !links_.empty() || stopped_callback_ == nullptr)
+        return;
+    loop_.post(
+        [weak = weak_from_this()]
+        {
+            auto const self = weak.lock();
+            if (self == nullptr || !self->links_.empty() || self->stopped_callback_ == nullptr)
+                return;
+            auto const callback = std::exchange(self->stopped_callback_, nullptr);
+            callback();
+        });
+}
+
+void server_core::retire()
+{
+    is_retired_ = true;
+    is_stopping_ = true;
+    stopped_callback_ = nullptr;
+    routes_.clear();
+    close_listener();
+    if (connections_.empty())
+        return;
+    loop_.retain(shared_from_this());
+    drop_connections();
+}
+
+} // namespace almondcart::detail
--- /dev/null
+++ b/tests/http.cpp
@@ -0,0 +1,660 @@
+#include <almondcart/core/status.hpp>
+#include <almondcart/http/http_client.hpp>
+#include <almondcart/http/http_server.hpp>
+#include <almondcart/http/json_rpc_client.hpp>
+#include <almondcart/http/json_rpc_server.hpp>
+#include <almondcart/http/metrics.hpp>
+#include <almondcart/http/socket_address.hpp>
+
+#include <criterion/criterion.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+using namespace almondcart;
+
+namespace {
+
+using exchange_pointer = std::shared_ptr<http_exchange>;
+
+/// What a caller has received.
+struct received
+{
+    int status = 0;
+    http_headers headers;
+    std::string body;
+    std::optional<absl::Status> result;
+
+    bool is_done() const { return result.has_value(); }
+};
+
+http_callbacks collect(received& into)
+{
+    http_callbacks callbacks;
+    callbacks.on_headers = [&into](http_response_head const& head)
+    {
+        into.status = head.status;
+        into.headers = head.headers;
+    };
+    callbacks.on_body = [&into](std::string_view data) { into.body += data; };
+    callbacks.on_done = [&into](absl::Status status)
+    {
+        cr_assert(!into.is_done(), "on_done was called twice");
+        into.result = std::move(status);
+    };
+    return callbacks;
+}
+
+/// Server and client of one test.
+struct fixture
+{
+    explicit fixture(std::size_t body_limit = 8 * 1024 * 1024)
+        : server(http_server::create(loop, {"127.0.0.1:0", body_limit}).value())
+    {}
+
+    http_request request(std::string path, std::string body = {}) const
+    {
+        http_request it;
+        it.address = server->address();
+        it.method = body.empty() ? "GET" : "POST";
+        it.path = std::move(path);
+        it.body = std::move(body);
+        return it;
+    }
+
+    received fetch(http_request const& it)
+    {
+        received answer;
+        client.request(it, collect(answer));
+        loop.run_until([&] { return answer.is_done(); });
+        return answer;
+    }
+
+    /// Connected socket that sends `text` and is read by the test itself.
+    int connect_raw(std::string const& text) const
+    {
+        auto const address = socket_address::parse(server->address()).value();
+        int const fd = socket(address.family(), SOCK_STREAM, 0);
+        cr_assert_eq(connect(fd, address.native(), address.size()), 0);
+        cr_assert_eq(write(fd, text.data(), text.size()), static_cast<ssize_t>(text.size()));
+        return fd;
+    }
+
+    event_loop loop;
+    std::unique_ptr<http_server> server;
+    http_client client{loop};
+};
+
+} // namespace
+
+// Guards against timers out of order, a cancelled timer that still runs, and a periodic timer that
+// survives its own cancellation.
+Test(event_loop, timers_run_in_order_and_cancel)
+{
+    event_loop loop;
+    std::string order;
+    loop.after(duration(2), [&] { order += 'c'; });
+    loop.after(duration(0), [&] { order += 'a'; });
+    loop.post([&] { order += 'b'; });
+    auto cancelled = loop.after(duration(1), [&] { order += 'x'; });
+    cancelled.cancel();
+    timer periodic = loop.every(
+        duration(3),
+        [&]
+        {
+            order += 'p';
+            if (order.ends_with("pp"))
+                periodic.cancel();
+        });
+    loop.run_until([&] { return order.ends_with("pp"); });
+    loop.after(duration(10), [&] { loop.stop(); });
+    loop.run();
+    cr_assert_eq(order, "abcpp");
+}
+
+// Guards against a planned stop that kills the process in the middle of its work.
+Test(event_loop, stop_signal_is_a_callback)
+{
+    event_loop loop;
+    int signal_count = 0;
+    loop.on_stop_signal([&] { ++signal_count; });
+    kill(getpid(), SIGTERM);
+    loop.run_until([&] { return signal_count == 1; });
+    kill(getpid(), SIGINT);
+    loop.run_until([&] { return signal_count == 2; });
+}
+
+// Guards against requests reaching the wrong handler, and parts of the request being lost.
+Test(http, routes_and_passes_whole_request)
+{
+    fixture it;
+    it.server->route(
+        "*", "/", [](exchange_pointer const& e) { e->respond_text(200, "text/plain", "root"); });
+    it.server->route(
+        "POST",
+        "/v1/read",
+        [](exchange_pointer const& e)
+        {
+            e->respond(
+                201,
+                {{"X-Kind", "read"}},
+                e->method() + e->path() + "|" + e->query_value("a b").value_or("-") + "|" +
+                    std::string(e->header("x-in")) + "|" + e->body());
+        });
+    auto request = it.request("/v1/read/x?q=1&a%20b=c%2Fd", "payload");
+    request.headers = {{"X-In", "value"}};
+    auto const answer = it.fetch(request);
+    cr_assert(answer.result->ok());
+    cr_assert_eq(answer.status, 201);
+    cr_assert_eq(find_header(answer.headers, "x-kind").value(), "read");
+    cr_assert_eq(answer.body, "POST/v1/read/x|c/d|value|payload");
+    cr_assert_eq(it.fetch(it.request("/v1/reading")).body, "root");
+}
+
+// Guards against unknown paths or methods hanging without a response.
+Test(http, unknown_path_and_method_are_answered)
+{
+    fixture it;
+    it.server->route("GET", "/a", [](exchange_pointer const& e) { e->respond(200, {}, ""); });
+    cr_assert_eq(it.fetch(it.request("/b")).status, 404);
+    cr_assert_eq(it.fetch(it.request("/a", "body")).status, 405);
+    cr_assert_eq(it.fetch(it.request("/a")).status, 200);
+}
+
+// Guards against a caller that waits forever for a handler that has dropped its request.
+Test(http, released_exchange_is_answered)
+{
+    fixture it;
+    it.server->route("GET", "/", [](exchange_pointer const&) {});
+    cr_assert_eq(it.fetch(it.request("/")).status, 500);
+}
+
+// Guards against streamed parts being held back until the end of the response.
+Test(http, stream_parts_arrive_one_by_one)
+{
+    fixture it;
+    exchange_pointer stream;
+    it.server->route(
+        "GET",
+        "/",
+        [&](exchange_pointer e)
+        {
+            stream = std::move(e);
+            stream->start(200, {{"content-type", "text/event-stream"}});
+        });
+    received answer;
+    it.client.request(it.request("/"), collect(answer));
+    it.loop.run_until([&] { return stream != nullptr; });
+    for (std::string const part : {"data: 1\n\n", "data: 2\n\n", "data: 3\n\n"})
+    {
+        auto const expected = answer.body + part;
+        stream->send(part);
+        it.loop.run_until([&] { return answer.body == expected; });
+    }
+    cr_assert(!answer.is_done());
+    stream->finish();
+    stream->send("after the end");
+    it.loop.run_until([&] { return answer.is_done(); });
+    cr_assert(answer.result->ok());
+    cr_assert_eq(answer.body, "data: 1\n\ndata: 2\n\ndata: 3\n\n");
+}
+
+// Guards against an interrupted response that looks complete to the caller.
+Test(http, aborted_stream_is_an_error)
+{
+    fixture it;
+    it.server->route(
+        "GET",
+        "/",
+        [&](exchange_pointer const& e)
+        {
+            e->start(200, {});
+            e->send("part");
+            it.loop.after(duration(5), [e] { e->abort(); });
+        });
+    auto const answer = it.fetch(it.request("/"));
+    cr_assert_eq(answer.status, 200);
+    cr_assert_eq(code_of(*answer.result), result_code::upstream_lost);
+    cr_assert(!is_request_unsent(*answer.result));
+}
+
+// Guards against callers receiving each other's answers when responses complete out of order.
+Test(http, crossed_answers_reach_their_callers)
+{
+    constexpr std::size_t count = 20;
+    fixture it;
+    std::vector<exchange_pointer> waiting;
+    it.server->route("POST", "/", [&](exchange_pointer e) { waiting.push_back(std::move(e)); });
+    // Two rounds, so that the second one runs over reused connections.
+    for (int round = 0; round < 2; ++round)
+    {
+        std::vector<received> answers(count);
+        for (std::size_t i = 0; i < count; ++i)
+            it.client.request(it.request("/", "body " + std::to_string(i)), collect(answers[i]));
+        it.loop.run_until([&] { return waiting.size() == count; });
+        for (std::size_t i = 0; i < count; ++i)
+        {
+            auto const& e = waiting[(i * 7 + 3) % count];
+            e->respond_text(200, "text/plain", "answer to " + e->body());
+        }
+        waiting.clear();
+        it.loop.run_until([&] { return std::ranges::all_of(answers, &received::is_done); });
+        for (std::size_t i = 0; i < count; ++i)
+            cr_assert_eq(answers[i].body, "answer to body " + std::to_string(i));
+    }
+    cr_assert_leq(it.server->connection_count(), count, "connections were not reused");
+}
+
+// Guards against work going on for a caller that has gone, before and after the response started.
+Test(http, disconnect_is_reported)
+{
+    for (bool const is_started : {false, true})
+    {
+        fixture it;
+        exchange_pointer exchange;
+        int disconnect_count = 0;
+        it.server->route(
+            "GET",
+            "/",
+            [&](exchange_pointer e)
+            {
+                exchange = std::move(e);
+                exchange->on_disconnect([&] { ++disconnect_count; });
+                if (is_started)
+                    exchange->start(200, {});
+            });
+        received answer;
+        auto call = it.client.request(it.request("/"), collect(answer));
+        it.loop.run_until([&] { return exchange != nullptr; });
+        call.cancel();
+        it.loop.run_until([&] { return disconnect_count == 1; });
+        cr_assert(!exchange->is_open());
+        exchange->respond(200, {}, "late");
+        exchange->send("late");
+        exchange->finish();
+        it.loop.run_until([&] { return it.server->connection_count() == 0; });
+        cr_assert_eq(it.server->exchange_count(), 0);
+        cr_assert(!answer.is_done());
+        cr_assert_eq(disconnect_count, 1);
+    }
+}
+
+// Guards against one slow reader using unbounded memory: the sender can see the backlog and is
+// told when it is gone.
+Test(http, slow_reader_shows_as_pending_bytes)
+{
+    constexpr std::size_t chunk_size = 1024 * 1024;
+    constexpr std::size_t backlog_limit = 4 * chunk_size;
+    fixture it;
+    exchange_pointer stream;
+    int drained_count = 0;
+    it.server->route(
+        "GET",
+        "/",
+        [&](exchange_pointer e)
+        {
+            stream = std::move(e);
+            stream->on_drained([&] { ++drained_count; });
+            stream->start(200, {});
+        });
+    int const fd = it.connect_raw("GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+    it.loop.run_until([&] { return stream != nullptr; });
+    std::size_t sent = 0;
+    while (stream->pending_bytes() < backlog_limit)
+    {
+        stream->send(std::string(chunk_size, 'x'));
+        sent += chunk_size;
+        int rounds = 0;
+        it.loop.post([&] { ++rounds; });
+        it.loop.run_until([&] { return rounds == 1; });
+    }
+    drained_count = 0;
+    std::size_t read_size = 0;
+    std::string buf(chunk_size, '\0');
+    while (drained_count == 0)
+    {
+        auto const size = recv(fd, buf.data(), buf.size(), MSG_DONTWAIT);
+        read_size += size > 0 ? static_cast<std::size_t>(size) : 0;
+        int rounds = 0;
+        it.loop.post([&] { ++rounds; });
+        it.loop.run_until([&] { return rounds == 1; });
+    }
+    cr_assert_eq(stream->pending_bytes(), 0);
+    cr_assert_geq(sent, backlog_limit);
+    close(fd);
+    it.loop.run_until([&] { return it.server->exchange_count() == 0; });
+    cr_assert_eq(stream->pending_bytes(), 0);
+}
+
+// Guards against bodies being cut at buffer sizes, and against a body above the limit being read.
+Test(http, big_bodies_pass_up_to_the_limit)
+{
+    constexpr std::size_t limit = 3 * 1024 * 1024;
+    fixture it(limit);
+    it.server->route(
+        "POST",
+        "/",
+        [](exchange_pointer const& e)
+        { e->respond_text(200, "text/plain", e->body() + e->body()); });
+    std::string body(limit, 'a');
+    for (std::size_t i = 0; i < body.size(); ++i)
+        body[i] = static_cast<char>('a' + i % 23);
+    auto const answer = it.fetch(it.request("/", body));
+    cr_assert(answer.result->ok());
+    cr_assert(answer.body == body + body);
+    cr_assert_eq(it.fetch(it.request("/", body + "x")).status, 413);
+}
+
+// Guards against "not run" being told for a request that may have run: only a connection that was
+// never made proves it.
+Test(http, refused_connection_is_told_from_lost_one)
+{
+    fixture it;
+    it.server->route("GET", "/", [](exchange_pointer const& e) { e->abort(); });
+    auto const lost = it.fetch(it.request("/"));
+    cr_assert_eq(code_of(*lost.result), result_code::upstream_lost);
+    cr_assert(!is_request_unsent(*lost.result));
+    it.server->close_listener();
+    auto const refused = it.fetch(it.request("/"));
+    cr_assert_eq(code_of(*refused.result), result_code::no_upstream);
+    cr_assert(is_request_unsent(*refused.result));
+    cr_assert(it.server->open_listener().ok());
+    it.server->route("GET", "/again", [](exchange_pointer const& e) { e->respond(204, {}, ""); });
+    cr_assert_eq(it.fetch(it.request("/again")).status, 204);
+}
+
+// Guards against a request being sent a second time when a reused connection fails.
+Test(http, failed_reused_connection_is_not_retried)
+{
+    fixture it;
+    int count = 0;
+    it.server->route(
+        "POST",
+        "/",
+        [&](exchange_pointer const& e)
+        {
+            if (++count == 1)
+                e->respond(200, {}, "first");
+            else
+                e->abort();
+        });
+    cr_assert_eq(it.fetch(it.request("/", "1")).body, "first");
+    auto const second = it.fetch(it.request("/", "2"));
+    cr_assert_eq(code_of(*second.result), result_code::upstream_lost);
+    cr_assert(!is_request_unsent(*second.result));
+    cr_assert_eq(count, 2);
+}
+
+// Guards against an idle connection that the server has closed being used for a request.
+Test(http, idle_connection_closed_by_server_is_not_reused)
+{
+    fixture it;
+    it.server->route("GET", "/", [](exchange_pointer const& e) { e->respond(200, {}, "ok"); });
+    cr_assert_eq(it.fetch(it.request("/")).body, "ok");
+    it.server->drop_connections();
+    it.loop.run_until([&] { return it.server->connection_count() == 0; });
+    cr_assert_eq(it.fetch(it.request("/")).body, "ok");
+}
+
+// Guards against timeouts that never expire, and against a timeout before the connection being
+// taken for one after it.
+Test(http, first_byte_and_idle_timeouts_end_the_request)
+{
+    fixture it;
+    std::vector<exchange_pointer> open;
+    it.server->route("GET", "/silent", [&](exchange_pointer e) { open.push_back(std::move(e)); });
+    it.server->route(
+        "GET",
+        "/stalled",
+        [&](exchange_pointer e)
+        {
+            e->start(200, {});
+            e->send("part");
+            open.push_back(std::move(e));
+        });
+    auto silent = it.request("/silent");
+    silent.first_byte_timeout = duration(5);
+    auto const first = it.fetch(silent);
+    cr_assert_eq(code_of(*first.result), result_code::upstream_lost);
+    auto stalled = it.request("/stalled");
+    stalled.idle_timeout = duration(5);
+    auto const second = it.fetch(stalled);
+    cr_assert_eq(second.status, 200);
+    cr_assert_eq(code_of(*second.result), result_code::upstream_lost);
+    it.loop.run_until([&] { return it.server->exchange_count() == 0; });
+    cr_assert(open[0]->is_disconnected());
+    cr_assert(open[1]->is_disconnected());
+}
+
+// Guards against callbacks into an owner that cancelled its request, also from within a callback.
+Test(http, cancel_within_callbacks)
+{
+    fixture it;
+    it.server->route(
+        "GET",
+        "/",
+        [](exchange_pointer const& e)
+        {
+            e->start(200, {});
+            e->send("part");
+        });
+    for (bool const in_headers : {true, false})
+    {
+        http_call call;
+        bool is_cancelled = false;
+        auto const cancel = [&]
+        {
+            cr_assert(!is_cancelled, "called after cancel");
+            is_cancelled = true;
+            call.cancel();
+        };
+        http_callbacks callbacks;
+        callbacks.on_headers = [&](http_response_head const&)
+        {
+            if (in_headers)
+                cancel();
+        };
+        callbacks.on_body = [&](std::string_view) { cancel(); };
+        callbacks.on_done = [](absl::Status const&) { cr_assert_fail("called after cancel"); };
+        call = it.client.request(it.request("/"), callbacks);
+        it.loop.run_until([&] { return is_cancelled && it.server->connection_count() == 0; });
+        cr_assert(!call.is_active());
+    }
+}
+
+// Guards against a planned stop that interrupts a stream in progress, or accepts new work.
+Test(http, graceful_stop_waits_for_open_stream)
+{
+    fixture it;
+    exchange_pointer stream;
+    it.server->route(
+        "GET",
+        "/",
+        [&](exchange_pointer e)
+        {
+            stream = std::move(e);
+            stream->start(200, {});
+            stream->send("first ");
+        });
+    received answer;
+    it.client.request(it.request("/"), collect(answer));
+    it.loop.run_until([&] { return answer.body == "first "; });
+    bool is_stopped = false;
+    it.server->stop([&] { is_stopped = true; });
+    auto const refused = it.fetch(it.request("/"));
+    cr_assert(is_request_unsent(*refused.result));
+    cr_assert(!is_stopped);
+    stream->send("rest");
+    stream->finish();
+    stream = nullptr;
+    it.loop.run_until([&] { return is_stopped && answer.is_done(); });
+    cr_assert(answer.result->ok());
+    cr_assert_eq(answer.body, "first rest");
+    it.loop.run_until([&] { return it.server->connection_count() == 0; });
+}
+
+// Guards against a server that leaves connections or callbacks behind when it is destroyed.
+Test(http, destroyed_server_closes_connections)
+{
+    fixture it;
+    std::vector<exchange_pointer> open;
+    it.server->route("GET", "/", [&](exchange_pointer e) { open.push_back(std::move(e)); });
+    received answer;
+    it.client.request(it.request("/"), collect(answer));
+    it.loop.run_until([&] { return open.size() == 1; });
+    it.server = nullptr;
+    it.loop.run_until([&] { return answer.is_done(); });
+    cr_assert(!answer.result->ok());
+    open[0]->respond(200, {}, "late");
+}
+
+namespace {
+
+/// Server and client of a test of JSON-RPC, with a journal on either side.
+struct rpc_fixture : fixture
+{
+    absl::StatusOr<Json::Value> call(std::string const& method, Json::Value const& params)
+    {
+        std::optional<absl::StatusOr<Json::Value>> result;
+        rpc_client.call(
+            server->address(),
+            method,
+            params,
+            duration(60'000),
+            [&](absl::StatusOr<Json::Value> it) { result = std::move(it); });
+        loop.run_until([&] { return result.has_value(); });
+        return *result;
+    }
+
+    event_journal server_journal{{"server", "1"}, [] { return 0; }};
+    event_journal client_journal{{"client", "1"}, [] { return 0; }};
+    json_rpc_server rpc_server{*server, server_journal};
+    json_rpc_client rpc_client{loop, client, client_journal};
+};
+
+Json::Value object(std::string const& name, Json::Value const& value)
+{
+    Json::Value it;
+    it[name] = value;
+    return it;
+}
+
+} // namespace
+
+// Guards against a refusal code being lost between processes, which would turn "not run" into
+// "unknown".
+Test(json_rpc, results_and_statuses_round_trip)
+{
+    rpc_fixture it;
+    it.rpc_server.bind_immediate(
+        "echo", [](Json::Value const& params) { return object("got", params); });
+    it.rpc_server.bind_immediate(
+        "refuse",
+        [](Json::Value const&) -> absl::StatusOr<Json::Value>
+        { return make_status(result_code::request_fenced, "fenced by attempt 2"); });
+    it.rpc_server.bind("forget", [](Json::Value const&, auto const&) {});
+    auto const params = object("tokens", 12);
+    cr_assert(it.call("echo", params).value() == object("got", params));
+    auto const refused = it.call("refuse", params).status();
+    cr_assert_eq(code_of(refused), result_code::request_fenced);
+    cr_assert_eq(refused.message(), "fenced by attempt 2");
+    cr_assert(refused == make_status(result_code::request_fenced, "fenced by attempt 2"));
+    cr_assert_eq(code_of(it.call("forget", params).status()), result_code::internal_error);
+    cr_assert_eq(code_of(it.call("unknown", params).status()), result_code::upstream_failed);
+    it.server->close_listener();
+    it.server->drop_connections();
+    it.loop.run_until([&] { return it.server->connection_count() == 0; });
+    cr_assert(is_request_unsent(it.call("echo", params).status()));
+}
+
+// Guards against delayed replies reaching the wrong caller.
+Test(json_rpc, delayed_replies_complete_out_of_order)
+{
+    constexpr int count = 10;
+    rpc_fixture it;
+    std::vector<std::pair<Json::Value, json_rpc_server::reply_function>> waiting;
+    it.rpc_server.bind(
+        "wait",
+        [&](Json::Value const& params, json_rpc_server::reply_function reply)
+        { waiting.emplace_back(params, std::move(reply)); });
+    std::vector<Json::Value> results(count);
+    int done_count = 0;
+    for (int i = 0; i < count; ++i)
+        it.rpc_client.call(
+            it.server->address(),
+            "wait",
+            object("n", i),
+            duration(60'000),
+            [&, i](absl::StatusOr<Json::Value> const& result)
+            {
+                results[static_cast<std::size_t>(i)] = result.value();
+                ++done_count;
+            });
+    it.loop.run_until([&] { return waiting.size() == count; });
+    for (auto it = waiting.rbegin(); it != waiting.rend(); ++it)
+    {
+        it->second(it->first);
+        it->second(Json::Value("second reply"));
+    }
+    it.loop.run_until([&] { return done_count == count; });
+    for (int i = 0; i < count; ++i)
+        cr_assert(results[static_cast<std::size_t>(i)] == object("n", i));
+}
+
+// Guards against a call that never ends because its peer does not reply.
+Test(json_rpc, call_times_out)
+{
+    rpc_fixture it;
+    std::vector<json_rpc_server::reply_function> waiting;
+    it.rpc_server.bind(
+        "wait",
+        [&](Json::Value const&, json_rpc_server::reply_function reply)
+        { waiting.push_back(std::move(reply)); });
+    std::optional<absl::Status> status;
+    it.rpc_client.call(
+        it.server->address(),
+        "wait",
+        Json::Value(Json::objectValue),
+        duration(5),
+        [&](absl::StatusOr<Json::Value> const& result) { status = result.status(); });
+    it.loop.run_until([&] { return status.has_value(); });
+    cr_assert_eq(code_of(*status), result_code::upstream_lost);
+    cr_assert(!is_request_unsent(*status));
+}
+
+// Guards against effects sorting before their causes in the time lines of two processes.
+Test(json_rpc, logical_time_travels_both_ways)
+{
+    rpc_fixture it;
+    it.rpc_server.bind_immediate(
+        "note",
+        [&](Json::Value const&)
+        {
+            it.server_journal.record({});
+            return Json::Value(true);
+        });
+    it.client_journal.observe(100);
+    auto const sent_at = it.client_journal.logical_time();
+    cr_assert(it.call("note", Json::Value(Json::objectValue)).ok());
+    auto const recorded_at = it.server_journal.events().back().logical_time;
+    cr_assert_gt(recorded_at, sent_at);
+    cr_assert_gt(it.client_journal.logical_time(), recorded_at);
+}
+
+// Guards against metrics that are registered twice being counted apart.
+Test(metrics, serves_text)
+{
+    fixture it;
+    metrics registry;
+    registry.serve(*it.server);
+    registry.counter("requests_total", "Requests.", {{"kind", "a"}}).Increment();
+    registry.counter("requests_total", "Requests.", {{"kind", "a"}}).Increment();
+    auto const answer = it.fetch(it.request("/metrics"));
+    cr_assert_eq(answer.status, 200);
+    cr_assert(answer.body.find("requests_total{kind=\"a\"} 2") != std::string::npos);
+}
