Routing: Bound a router's own requests on one upstream

Cause: between two load reports several routers follow the same prefix order and fill the same slots, so requests queue in that engine while others have free slots. Change: a router fills at most twice its equal share of an upstream's slots.

--- a/libraries/routing/include/almondcart/routing/upstream_selector.hpp
+++ b/libraries/routing/include/almondcart/routing/upstream_selector.hpp
@@ -70,6 +70,9 @@
     /// Share of its slots that an upstream fills regardless of the average, because sending work
     /// away from a cached prefix gains nothing while the batch is small.
     double free_share = 0.5;
+    /// Multiple of its equal share of an upstream's slots that a router fills with its own requests.
+    /// Routers that follow one prefix order would otherwise fill the same slots between two reports.
+    double own_share_bound = 2;
     /// Length of the rendezvous order in which a cache hint may move a request.
     std::size_t hint_reach = 3;
     /// Prefixes remembered per upstream; beyond it the hints of that upstream are dropped.
@@ -90,6 +93,9 @@
     /// Replaces the pool's upstreams. Counts of upstreams that stay are kept.
     void set_upstreams(std::map<std::string, upstream_traits> const& upstreams);
 
+    /// Number of live routers, this one included, that share the upstreams.
+    void set_routers(int routers);
+
     /// Key of the prompt's leading bytes, equal on every router.
     std::uint64_t affinity_key(std::string_view prompt) const;
 
@@ -125,9 +131,9 @@
     /// Slots of usable upstreams.
     int usable_slots() const;
 
-    /// Requests that this router may run at once: an equal share of the usable slots among
-    /// `routers` live routers, or more while the others leave slots unused.
-    int concurrency_limit(int routers) const;
+    /// Requests that this router may run at once: an equal share of the usable slots among the live
+    /// routers, or more while the others leave slots unused.
+    int concurrency_limit() const;
 
 private:
     struct upstream_entry
@@ -155,6 +161,7 @@
 
     std::function<bool(std::string const&)> is_usable_;
     selector_settings settings_;
+    int routers_ = 1;
     std::map<std::string, upstream_entry> upstreams_;
 };
 
--- a/libraries/routing/src/upstream_selector.cpp
+++ b/libraries/routing/src/upstream_selector.cpp
@@ -21,6 +21,11 @@
         upstreams_[name].traits = traits;
 }
 
+void upstream_selector::set_routers(int routers)
+{
+    routers_ = std::max(1, routers);
+}
+
 std::uint64_t upstream_selector::affinity_key(std::string_view prompt) const
 {
     return hash64(prompt.substr(0, settings_.affinity_bytes));
@@ -59,6 +64,9 @@
 bool upstream_selector::has_room(candidate const& it, double average_load) const
 {
     double const slots = std::max(1, it.entry->traits.slots);
+    double const own = static_cast<double>(it.entry->dispatched - it.entry->finished);
+    if (own + 1 > std::ceil(slots * settings_.own_share_bound / routers_))
+        return false;
     double const bound =
         std::max(slots * settings_.free_share, average_load * settings_.load_bound);
     // An upstream with all slots taken queues the request, so the bound never exceeds the slots
@@ -222,7 +230,7 @@
     return slots;
 }
 
-int upstream_selector::concurrency_limit(int routers) const
+int upstream_selector::concurrency_limit() const
 {
     int free = 0;
     int own = 0;
@@ -234,8 +242,7 @@
         own += in_flight(name);
     }
     // Every router sees the same free slots, so each takes its part of them.
-    int const n = std::max(1, routers);
-    return std::max(usable_slots() / n, own + free / n);
+    return std::max(usable_slots() / routers_, own + free / routers_);
 }
 
 } // namespace almondcart
--- a/utilities/bench/routing_fleet.cpp
+++ b/utilities/bench/routing_fleet.cpp
@@ -82,6 +82,7 @@
     for (auto const& it : upstreams_)
         traits[it.name] = {{}, "", bench_slots};
     router.selector->set_upstreams(traits);
+    router.selector->set_routers(bench_routers);
     router.retries = std::make_unique<retry_budget>(time_.clock());
     router.reported_load.assign(bench_upstreams, 0);
     router.next_upstream = static_cast<std::size_t>(number);
@@ -95,13 +96,13 @@
             ++figures_.refused.at(static_cast<std::size_t>(it.request->kind));
     };
     router.queue = std::make_unique<admission_queue>(time_.clock(), hooks);
-    router.queue->set_limit(router.selector->concurrency_limit(bench_routers));
+    router.queue->set_limit(router.selector->concurrency_limit());
     time_.every(
         router_tick,
         router_tick,
         [&router]
         {
-            router.queue->set_limit(router.selector->concurrency_limit(bench_routers));
+            router.queue->set_limit(router.selector->concurrency_limit());
             router.queue->tick();
         });
 }
