Routing: Break ties between full upstreams by the router's own requests

Cause: when no upstream had room by the reports, all routers chose the same least loaded one. Change: the router's own requests, which it knows exactly, count times the number of routers; the bound on them goes from 2 to 1.5.

--- a/libraries/routing/include/almondcart/routing/upstream_selector.hpp
+++ b/libraries/routing/include/almondcart/routing/upstream_selector.hpp
@@ -72,7 +72,7 @@
     double free_share = 0.5;
     /// Multiple of its equal share of an upstream's slots that a router fills with its own requests.
     /// Routers that follow one prefix order would otherwise fill the same slots between two reports.
-    double own_share_bound = 2;
+    double own_share_bound = 1.5;
     /// Length of the rendezvous order in which a cache hint may move a request.
     std::size_t hint_reach = 3;
     /// Prefixes remembered per upstream; beyond it the hints of that upstream are dropped.
--- a/libraries/routing/src/upstream_selector.cpp
+++ b/libraries/routing/src/upstream_selector.cpp
@@ -110,11 +110,14 @@
         chosen = &*std::min_element(
             candidates.begin(),
             candidates.end(),
-            [](auto const& left, auto const& right)
+            [this](auto const& left, auto const& right)
             {
-                auto const relative = [](candidate const& it) {
-                    return static_cast<double>(load_of(*it.entry)) /
-                           std::max(1, it.entry->traits.slots);
+                auto const relative = [this](candidate const& it)
+                {
+                    auto const own = it.entry->dispatched - it.entry->finished;
+                    auto const load =
+                        std::max<double>(load_of(*it.entry), static_cast<double>(own) * routers_);
+                    return load / std::max(1, it.entry->traits.slots);
                 };
                 return relative(left) < relative(right);
             });
