Routing: Size the interactive reserve by its measured arrivals

Cause: a fixed quarter of the slots is too little for bursts of interactive work at 1.5 and more than needed at 0.7. Change: a fifth, or the average interactive work plus two deviations that does not run already, whichever is more.

--- a/libraries/routing/include/almondcart/routing/admission_queue.hpp
+++ b/libraries/routing/include/almondcart/routing/admission_queue.hpp
@@ -28,9 +28,12 @@
 struct admission_settings
 {
     std::size_t capacity = 1024; ///< entries that wait, over all priorities
-    /// Share of the slots that only the highest priority may use, so that interactive work does not
-    /// wait for a long request of a lower priority to end.
-    double interactive_share = 0.25;
+    /// Share of the slots that only the highest priority may fill, so that interactive work does
+    /// not wait for a long request of a lower priority to end. Nothing is kept while none arrives.
+    double interactive_share = 0.2;
+    /// Slots are also kept for the interactive work that arrives on average, plus this many
+    /// standard deviations of a Poisson count, as far as it does not run already.
+    double interactive_deviations = 2;
     duration initial_hold_time{500};  ///< slot occupancy assumed of a kind not yet measured
     duration initial_first_byte{100}; ///< time from dispatch to first byte, likewise
     /// Estimated waits are multiplied by this before they are compared with the time that is left.
@@ -107,6 +110,7 @@
     struct running_entry
     {
         std::string kind;
+        int priority = 0;
         instant started;
         bool has_first_byte = false;
     };
@@ -129,6 +133,7 @@
     std::array<priority_class, priority_count> classes_;
     std::unordered_map<std::uint64_t, running_entry> running_;
     std::unordered_map<std::string, kind_times> kinds_;
+    int running_interactive_ = 0;
     std::size_t waiting_ = 0;
     int limit_ = 0;
     instant rates_since_;
--- a/libraries/routing/include/almondcart/routing/upstream_selector.hpp
+++ b/libraries/routing/include/almondcart/routing/upstream_selector.hpp
@@ -70,8 +70,9 @@
     /// Share of its slots that an upstream fills regardless of the average, because sending work
     /// away from a cached prefix gains nothing while the batch is small.
     double free_share = 0.5;
-    /// Multiple of its equal share of an upstream's slots that a router fills with its own requests.
-    /// Routers that follow one prefix order would otherwise fill the same slots between two reports.
+    /// Multiple of its equal share of an upstream's slots that a router fills with its own
+    /// requests. Routers that follow one prefix order would otherwise fill the same slots between
+    /// two reports.
     double own_share_bound = 1.5;
     /// Length of the rendezvous order in which a cache hint may move a request.
     std::size_t hint_reach = 3;
--- a/libraries/routing/src/admission_queue.cpp
+++ b/libraries/routing/src/admission_queue.cpp
@@ -110,6 +110,8 @@
         auto& times = kinds_.try_emplace(it->second.kind, times_of(it->second.kind)).first->second;
         times.hold_ms += smoothing * (sample - times.hold_ms);
     }
+    if (it->second.priority == 0)
+        --running_interactive_;
     running_.erase(it);
     pump();
 }
@@ -218,7 +220,9 @@
             hooks_.refuse(entry.ticket, overloaded(entry, "the deadline can no longer be met"));
             return true;
         }
-        running_[entry.ticket] = {entry.kind, now, false};
+        running_[entry.ticket] = {entry.kind, priority, now, false};
+        if (priority == 0)
+            ++running_interactive_;
         hooks_.dispatch(entry.ticket);
         return true;
     }
@@ -231,7 +235,10 @@
     constexpr double least_rate = 0.01;
     if (priority == 0 || (classes_[0].work_rate < least_rate && classes_[0].work_recent == 0))
         return limit_;
-    auto const reserved = static_cast<int>(std::ceil(limit_ * settings_.interactive_share));
+    double const expected = classes_[0].work_rate;
+    double const wanted = expected + settings_.interactive_deviations * std::sqrt(expected);
+    auto const reserved = static_cast<int>(
+        std::ceil(std::max(limit_ * settings_.interactive_share, wanted - running_interactive_)));
     return std::max(std::min(limit_, 1), limit_ - reserved);
 }
 
