Gate: Use the ledger's JSON forms of grant parts and usage items

Both libraries defined the same functions, which did not link together.

Before: the router did not link. After: one definition, in the ledger.

--- a/libraries/gate/src/usage_json.cpp
+++ b/libraries/gate/src/usage_json.cpp
@@ -1,38 +1,14 @@
 #include <almondcart/gate/usage_json.hpp>
 
 #include <algorithm>
-#include <limits>
 
 namespace almondcart {
 
-namespace {
-
-constexpr std::int64_t number_limit = std::numeric_limits<std::int64_t>::max();
-
-grant_part read_grant_part(json_reader& it)
-{
-    grant_part part;
-    auto const grant = try_grant_id(it.string("grant"));
-    if (grant)
-        part.grant = *grant;
-    else
-        it.fail("grant", "a grant id \"shard:offset\"");
-    part.tokens = it.integer("tokens", 0, number_limit);
-    return part;
-}
-
-} // namespace
-
 Json::Value to_json(std::vector<grant_part> const& parts)
 {
     Json::Value value(Json::arrayValue);
     for (auto const& part : parts)
-    {
-        Json::Value entry;
-        entry["grant"] = to_text(part.grant);
-        entry["tokens"] = Json::Int64(part.tokens);
-        value.append(std::move(entry));
-    }
+        value.append(to_json(part));
     return value;
 }
 
@@ -43,15 +19,6 @@
     return parts;
 }
 
-Json::Value to_json(usage_item const& item)
-{
-    Json::Value value;
-    value["request"] = to_text(item.request);
-    value["started_ms"] = Json::Int64(item.started_ms);
-    value["parts"] = to_json(item.parts);
-    return value;
-}
-
 Json::Value to_json(std::vector<usage_item> const& items)
 {
     Json::Value value(Json::arrayValue);
@@ -63,20 +30,7 @@
 std::vector<usage_item> read_usage_items(json_reader& reader, std::string_view name)
 {
     std::vector<usage_item> items;
-    reader.objects(
-        name,
-        [&](json_reader& it)
-        {
-            usage_item item;
-            auto const request = try_request_id(it.string("request"));
-            if (request)
-                item.request = *request;
-            else
-                it.fail("request", "a request id \"service/account#key\"");
-            item.started_ms = it.integer("started_ms", 0, number_limit);
-            item.parts = read_grant_parts(it, "parts");
-            items.push_back(std::move(item));
-        });
+    reader.objects(name, [&](json_reader& it) { items.push_back(read_usage_item(it)); });
     return items;
 }
 
