--- /dev/null
+++ b/libraries/budget/include/almondcart/budget/transfer_id.hpp
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <almondcart/core/identifiers.hpp>
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace almondcart {
+
+/// Names one transfer of tokens. The receiver counts its numbers up, so that a giver recognises
+/// delayed repeats of old transfers without remembering all of them. Text form
+/// "name@incarnation:number".
+struct transfer_id
+{
+    process_id receiver;
+    std::int64_t number = 0;
+
+    friend auto operator<=>(transfer_id const&, transfer_id const&) = default;
+};
+
+std::string to_text(transfer_id const& id);
+std::optional<transfer_id> try_transfer_id(std::string_view text);
+
+} // namespace almondcart
--- /dev/null
+++ b/libraries/budget/src/budget_holder.cpp
@@ -0,0 +1,430 @@
+#include <almondcart/budget/budget_holder.hpp>
+
+#include <almondcart/core/hash.hpp>
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace almondcart {
+
+namespace {
+
+/// Order of routers in which their waiting requests of a budget come first, so that two routers do
+/// not take the last tokens from each other without end.
+std::uint64_t rank_of(process_id const& router, budget_id const& budget)
+{
+    return hash64(to_text(router), hash64(to_text(budget)));
+}
+
+} // namespace
+
+budget_holder::budget_holder(budget_holder_settings settings, hooks hooks)
+    : settings_(std::move(settings))
+    , hooks_(std::move(hooks))
+{}
+
+budget_holder::budget_entry_state& budget_holder::entry_of(budget_id const& id)
+{
+    return entries_.try_emplace(id, id).first->second;
+}
+
+budget_holder::budget_entry_state* budget_holder::find_entry(budget_id const& id)
+{
+    auto const it = entries_.find(id);
+    return it == entries_.end() ? nullptr : &it->second;
+}
+
+budget_entry const* budget_holder::folded(budget_id const& id) const
+{
+    auto const* state = hooks_.shard_state(shard_of(id.account));
+    return state != nullptr ? state->find_budget(id) : nullptr;
+}
+
+budget_account const* budget_holder::find_account(budget_id const& budget) const
+{
+    auto const it = entries_.find(budget);
+    return it == entries_.end() ? nullptr : &it->second.account;
+}
+
+std::size_t budget_holder::waiting_count() const
+{
+    std::size_t n = 0;
+    for (auto const& id : with_waiting_)
+        n += entries_.at(id).waiting.size();
+    return n;
+}
+
+void budget_holder::reserve(
+    request_id const& request,
+    int attempt,
+    budget_id const& budget,
+    token_count worst_case,
+    instant deadline,
+    reserve_callback callback)
+{
+    auto const now = hooks_.now();
+    waiting_entry waiting{request, attempt, worst_case, now, deadline, std::move(callback)};
+    if (is_shutting_down_)
+        refuse(waiting, result_code::shutting_down, "the router is shutting down");
+    else if (folded(budget) == nullptr)
+        refuse(waiting, result_code::unknown_budget, "unknown budget " + to_text(budget));
+    else if (worst_case < 0 || attempts_.contains({request, attempt}))
+        refuse(waiting, result_code::internal_error, "attempt is already reserved");
+    else
+    {
+        auto& it = entry_of(budget);
+        it.account.demand().add(worst_case, now);
+        it.waiting.push_back(std::move(waiting));
+        with_waiting_.insert(budget);
+        serve(it);
+        if (!it.waiting.empty())
+            size_grants(it, now);
+    }
+    deliver();
+}
+
+bool budget_holder::cancel(request_id const& request, int attempt)
+{
+    for (auto const& id : with_waiting_)
+    {
+        auto& waiting = entries_.at(id).waiting;
+        auto const it = std::find_if(
+            waiting.begin(),
+            waiting.end(),
+            [&](auto const& entry) { return entry.request == request && entry.attempt == attempt; });
+        if (it == waiting.end())
+            continue;
+        waiting.erase(it);
+        serve(entries_.at(budget_id(id)));
+        deliver();
+        return true;
+    }
+    return false;
+}
+
+void budget_holder::serve(budget_entry_state& it)
+{
+    auto const now = hooks_.now();
+    while (!it.waiting.empty() && it.waiting.front().worst_case <= it.account.free())
+        grant_waiting(it, it.waiting.begin());
+    // Smaller requests pass the first one only for a limited time, else a large one could wait for
+    // ever while every free token goes to a smaller one.
+    if (!it.waiting.empty() && now - it.waiting.front().queued_at < settings_.bypass_limit)
+    {
+        for (std::size_t n = 1; n < it.waiting.size();)
+        {
+            if (it.waiting[n].worst_case <= it.account.free())
+                grant_waiting(it, it.waiting.begin() + std::ptrdiff_t(n));
+            else
+                ++n;
+        }
+    }
+    if (it.waiting.empty())
+        with_waiting_.erase(it.account.id());
+}
+
+void budget_holder::grant_waiting(
+    budget_entry_state& it,
+    std::deque<waiting_entry>::iterator position)
+{
+    auto waiting = std::move(*position);
+    it.waiting.erase(position);
+    attempt_entry entry;
+    entry.value = {
+        waiting.request,
+        waiting.attempt,
+        it.account.id(),
+        *it.account.try_reserve(waiting.worst_case),
+        0};
+    entry.changed_at = hooks_.now();
+    if (auto const* state = hooks_.shard_state(shard_of(waiting.request.account)))
+    {
+        auto const* request = state->find_request(waiting.request);
+        entry.is_billed_elsewhere = request != nullptr && request->is_billed;
+        entry.value.started_ms = state->time_ms();
+    }
+    auto const value = entry.value;
+    attempts_.emplace(attempt_key{waiting.request, waiting.attempt}, std::move(entry));
+    deliveries_.emplace_back([callback = std::move(waiting.callback), value] { callback(value); });
+}
+
+void budget_holder::refuse(waiting_entry& waiting, result_code code, std::string_view detail)
+{
+    deliveries_.emplace_back([callback = std::move(waiting.callback),
+                              status = make_status(code, detail)] { callback(status); });
+}
+
+void budget_holder::deliver()
+{
+    // A callback may call the holder again; its deliveries follow in the outer loop.
+    if (is_delivering_)
+        return;
+    is_delivering_ = true;
+    while (!deliveries_.empty())
+    {
+        auto const next = std::move(deliveries_.front());
+        deliveries_.pop_front();
+        next();
+    }
+    is_delivering_ = false;
+}
+
+absl::StatusOr<reservation> budget_holder::dispatch(request_id const& request, int attempt)
+{
+    auto const it = attempts_.find({request, attempt});
+    if (it == attempts_.end())
+        return make_status(result_code::internal_error, "attempt is not reserved");
+    auto& entry = it->second;
+    if (entry.state == attempt_state::lost)
+    {
+        attempts_.erase(it);
+        return make_status(result_code::grant_closed, "the grant was closed before dispatch");
+    }
+    if (auto const* state = hooks_.shard_state(shard_of(request.account)))
+        entry.value.started_ms = state->time_ms();
+    entry.state = attempt_state::dispatched;
+    entry.changed_at = hooks_.now();
+    return entry.value;
+}
+
+usage_item budget_holder::settle(reservation const& value, token_count actual)
+{
+    auto const it = attempts_.find({value.request, value.attempt});
+    auto const is_known = it != attempts_.end() && it->second.state != attempt_state::settled;
+    auto const reserved = is_known ? it->second.value.parts : value.parts;
+    usage_item usage{value.request, value.started_ms, first_tokens_of(reserved, actual)};
+    if (actual > total_of(reserved))
+        spdlog::error(
+            "[budget] {}: used {} tokens of {} reserved",
+            to_text(value.request),
+            actual,
+            total_of(reserved));
+    if (!is_known)
+        return usage;
+    auto& entry = it->second;
+    auto& budget = entry_of(value.budget);
+    auto& account = budget.account;
+    account.set_pending(usage.parts);
+    account.unreserve(rest_of(reserved, usage.parts));
+    entry.state = attempt_state::settled;
+    entry.changed_at = hooks_.now();
+    entry.usage = usage;
+    if (entry.is_billed_elsewhere || usage.parts.empty())
+    {
+        account.set_unbilled(usage.parts);
+        attempts_.erase(it);
+    }
+    else
+        unsubmitted_.insert(it->first);
+    serve(budget);
+    deliver();
+    return usage;
+}
+
+void budget_holder::release(reservation const& value)
+{
+    auto const it = attempts_.find({value.request, value.attempt});
+    if (it == attempts_.end() || it->second.state == attempt_state::settled)
+        return;
+    auto& budget = entry_of(value.budget);
+    if (it->second.state != attempt_state::lost)
+        budget.account.unreserve(it->second.value.parts);
+    attempts_.erase(it);
+    serve(budget);
+    deliver();
+}
+
+void budget_holder::abandon(reservation const& value)
+{
+    auto const it = attempts_.find({value.request, value.attempt});
+    if (it == attempts_.end() || it->second.state != attempt_state::dispatched)
+        return;
+    it->second.state = attempt_state::abandoned;
+    it->second.changed_at = hooks_.now();
+}
+
+void budget_holder::grant_refused(budget_id const& budget, grant_id const& grant)
+{
+    close_locally(entry_of(budget), grant);
+    deliver();
+}
+
+absl::StatusOr<std::vector<grant_part>> budget_holder::transfer_out(
+    transfer_id const& transfer,
+    budget_id const& budget,
+    token_count tokens)
+{
+    auto const* entry = folded(budget);
+    if (entry == nullptr)
+        return make_status(result_code::unknown_budget, "unknown budget " + to_text(budget));
+    auto& it = entry_of(budget);
+    auto const given = it.given.find(transfer.receiver);
+    if (given != it.given.end() && transfer.number == given->second.first)
+        return given->second.second;
+    if (given != it.given.end() && transfer.number < given->second.first)
+        return std::vector<grant_part>{};
+    auto const is_first_here = !it.waiting.empty()
+        && rank_of(settings_.self, budget) > rank_of(transfer.receiver, budget);
+    if (is_first_here)
+        return make_status(result_code::budget_unavailable, "requests wait here for these tokens");
+    auto parts = it.account.transfer(transfer.receiver, std::max<token_count>(tokens, 0));
+    if (parts.empty() && (it.draw_sequence >= 0 || is_returning(budget)))
+        return make_status(result_code::budget_unavailable, "tokens are on their way");
+    auto const sum = total_of(parts);
+    transferred_out_total_ += sum;
+    it.given[transfer.receiver] = {transfer.number, parts};
+    if (sum > 0)
+        note("transferred_out", budget, std::to_string(sum) + " to " + to_text(transfer.receiver));
+    return parts;
+}
+
+transfer_id budget_holder::create_transfer(budget_id const& budget)
+{
+    transfer_id const id{settings_.self, next_transfer_++};
+    open_transfers_.emplace(id, budget);
+    return id;
+}
+
+token_count
+budget_holder::transfer_in(transfer_id const& transfer, std::vector<grant_part> const& parts)
+{
+    auto const open = open_transfers_.find(transfer);
+    if (open == open_transfers_.end())
+        return 0;
+    auto const budget = open->second;
+    open_transfers_.erase(open);
+    auto& it = entry_of(budget);
+    auto const* state = hooks_.shard_state(shard_of(budget.account));
+    token_count credited = 0;
+    for (auto const& part : parts)
+    {
+        // A grant that this fold has not reached yet is open as far as this router can know; one
+        // that it has passed must be open.
+        auto const is_passed = state != nullptr && part.grant.offset <= state->offset();
+        auto const* grant = is_passed ? state->find_grant(part.grant) : nullptr;
+        auto const is_usable = !is_passed || (grant != nullptr && grant->state == grant_state::open);
+        if (part.tokens <= 0 || !is_usable || it.account.is_closed(part.grant))
+            continue;
+        it.account.credit(part.grant, part.tokens, credited_grants_.contains(part.grant));
+        credited += part.tokens;
+    }
+    if (credited > 0)
+    {
+        it.moved_at = hooks_.now();
+        note("transferred_in", budget, std::to_string(credited));
+    }
+    serve(it);
+    deliver();
+    return credited;
+}
+
+void budget_holder::forget_transfer(transfer_id const& transfer)
+{
+    open_transfers_.erase(transfer);
+}
+
+void budget_holder::conclude_exhausted(budget_id const& budget, instant asked_at)
+{
+    auto* it = find_entry(budget);
+    if (it == nullptr)
+        return;
+    std::deque<waiting_entry> kept;
+    while (!it->waiting.empty())
+    {
+        auto& first = it->waiting.front();
+        if (first.worst_case <= it->account.free())
+        {
+            grant_waiting(*it, it->waiting.begin());
+            continue;
+        }
+        if (first.queued_at <= asked_at)
+            refuse(first, result_code::budget_exhausted, "budget " + to_text(budget) + " is used up");
+        else
+            kept.push_back(std::move(first));
+        it->waiting.pop_front();
+    }
+    it->waiting = std::move(kept);
+    serve(*it);
+    deliver();
+}
+
+void budget_holder::expire_waiting(budget_entry_state& it, instant now)
+{
+    for (std::size_t n = 0; n < it.waiting.size();)
+    {
+        if (now < it.waiting[n].deadline)
+        {
+            ++n;
+            continue;
+        }
+        refuse(
+            it.waiting[n],
+            result_code::budget_unavailable,
+            "the log or a router that may hold tokens did not respond in time");
+        it.waiting.erase(it.waiting.begin() + std::ptrdiff_t(n));
+    }
+    serve(it);
+}
+
+void budget_holder::tick()
+{
+    auto const now = hooks_.now();
+    submit_usage();
+    for (auto const& id : std::set<budget_id>(with_waiting_))
+    {
+        auto& it = entries_.at(id);
+        expire_waiting(it, now);
+        if (!it.waiting.empty())
+            size_grants(it, now);
+    }
+    if (now - sized_at_ >= settings_.sizing_interval)
+    {
+        sized_at_ = now;
+        for (auto& [id, it] : entries_)
+            size_grants(it, now);
+    }
+    deliver();
+}
+
+void budget_holder::begin_shutdown()
+{
+    is_shutting_down_ = true;
+    for (auto& [id, it] : entries_)
+    {
+        for (auto& waiting : it.waiting)
+            refuse(waiting, result_code::shutting_down, "the router is shutting down");
+        it.waiting.clear();
+        give_back(it, it.account.free());
+    }
+    with_waiting_.clear();
+    deliver();
+}
+
+bool budget_holder::is_drained() const
+{
+    // Abandoned attempts are not waited for: peers recover their grants after this process ended.
+    auto const is_drawn = std::all_of(
+        entries_.begin(),
+        entries_.end(),
+        [](auto const& item) { return item.second.draw_sequence < 0; });
+    auto const is_idle = std::all_of(
+        attempts_.begin(),
+        attempts_.end(),
+        [](auto const& item) { return item.second.state == attempt_state::abandoned; });
+    return is_shutting_down_ && is_drawn && is_idle && returns_in_flight_.empty();
+}
+
+void budget_holder::note(std::string name, budget_id const& budget, std::string detail) const
+{
+    if (!hooks_.record_event)
+        return;
+    event entry;
+    entry.part = "budget";
+    entry.name = std::move(name);
+    entry.budget = to_text(budget);
+    entry.detail = std::move(detail);
+    hooks_.record_event(std::move(entry));
+}
+
+} // namespace almondcart
--- /dev/null
+++ b/utilities/bench/budget_policy.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "budget_judge.hpp"
+#include "event_queue.hpp"
+#include "fault_model.hpp"
+#include "log_model.hpp"
+
+#include <memory>
+#include <string_view>
+#include <vector>
+
+namespace almondcart::bench {
+
+/// What a policy under test works with.
+struct bench_world
+{
+    explicit bench_world(budget_scenario const& scenario)
+        : scenario(scenario)
+        , faults(scenario, queue)
+        , log(queue, faults)
+        , judge(scenario)
+    {}
+
+    budget_scenario const& scenario;
+    event_queue queue;
+    fault_model faults;
+    log_model log;
+    budget_judge judge;
+};
+
+/// A way to keep budgets. Decides on each request by `judge.reserved` or `judge.refused`, and
+/// reports the end of admitted work by `judge.finished`.
+class budget_policy
+{
+public:
+    virtual ~budget_policy() = default;
+
+    virtual void start() {}
+    virtual void arrive(trace_request const& request, int router) = 0;
+
+    /// Returns the requests that were waiting at the router and not admitted; callers retry them.
+    virtual std::vector<trace_request const*> router_died(int router) = 0;
+    virtual void router_restarted(int) {}
+    virtual void topped_up(top_up const&) {}
+};
+
+std::unique_ptr<budget_policy> create_product_policy(bench_world& world);
+std::unique_ptr<budget_policy> create_append_per_request_policy(bench_world& world);
+std::unique_ptr<budget_policy> create_static_split_policy(bench_world& world);
+std::unique_ptr<budget_policy> create_lagged_counter_policy(bench_world& world);
+
+} // namespace almondcart::bench
--- /dev/null
+++ b/utilities/bench/product_router.hpp
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "agent_model.hpp"
+#include "budget_log.hpp"
+#include "budget_policy.hpp"
+
+#include <almondcart/budget/budget_holder.hpp>
+#include <almondcart/budget/grant_recovery.hpp>
+#include <almondcart/budget/transfer_broker.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <vector>
+
+namespace almondcart::bench {
+
+class product_router;
+
+/// What the routers of the product share in the bench.
+struct product_fleet
+{
+    bench_world& world;
+    budget_log log;
+    std::vector<std::unique_ptr<agent_model>> agents;
+    std::vector<std::shared_ptr<product_router>> routers; ///< null while down
+};
+
+/// One run of a router process: the folds and the budget aggregates, wired to the models.
+class product_router : public std::enable_shared_from_this<product_router>
+{
+public:
+    product_router(int index, product_fleet& fleet);
+
+    int index() const { return index_; }
+    process_id const& id() const { return id_; }
+    budget_holder& holder() { return holder_; }
+
+    void start();
+    void arrive(trace_request const& request);
+
+    /// Requests whose reservation was not granted.
+    std::vector<trace_request const*> waiting() const;
+
+    /// A long poll returns after `delay` if the log is reachable then.
+    void schedule_read(duration delay);
+
+    /// `report_usage` of an agent.
+    void report_usage(std::vector<usage_item> items);
+
+private:
+    budget_holder_settings holder_settings() const;
+    budget_holder::hooks holder_hooks();
+    transfer_broker::hooks broker_hooks();
+    grant_recovery::hooks recovery_hooks();
+
+    void reserve(trace_request const& request, int attempt, instant deadline);
+    void dispatch(trace_request const& request, int attempt, instant deadline);
+    void run(trace_request const& request, reservation const& work, instant deadline, int agent);
+    void refused_by_agent(
+        trace_request const& request,
+        reservation const& work,
+        grant_id const& grant,
+        instant deadline);
+    void request_transfer(
+        process_id const& peer,
+        transfer_id const& transfer,
+        budget_id const& budget,
+        token_count tokens,
+        transfer_broker::transfer_callback callback);
+    void close_grant(
+        process_id const& agent,
+        grant_id const& grant,
+        grant_recovery::report_callback callback);
+    void read();
+    void acknowledge(request_id const& request);
+    void tick();
+
+    /// Runs `action` after `delay` unless this process has died.
+    void later(duration delay, event_queue::action action);
+    void repeat(duration interval, event_queue::action action);
+
+    int index_;
+    process_id id_;
+    product_fleet& fleet_;
+    bench_world& world_;
+    std::shared_ptr<budget_log_client> client_;
+    std::vector<budget_shard_state> shards_;
+    std::vector<std::size_t> positions_; ///< next record to fold, by shard
+    instant read_at_{};
+    bool is_read_scheduled_ = false;
+    std::mt19937_64 random_;
+    budget_holder holder_;
+    transfer_broker broker_;
+    grant_recovery recovery_;
+    std::map<trace_request const*, int> waiting_;
+};
+
+} // namespace almondcart::bench
