--- a/utilities/bench/budget_command.cpp
+++ b/utilities/bench/budget_bench.cpp
@@ -1,8 +1,7 @@
-#include "budget_command.hpp"
+#include "budget_bench.hpp"
 
 #include "budget_policy.hpp"
 
-#include <cxxopts.hpp>
 #include <fmt/format.h>
 #include <json/json.h>
 
@@ -142,57 +141,55 @@
         result.appends);
 }
 
-cxxopts::Options create_options()
+void print_header()
 {
-    cxxopts::Options options("almondcart-bench budget", "Compares ways to keep budgets.");
-    options.add_options()("seed", "seed of the traces", cxxopts::value<std::uint64_t>())(
-        "json", "print JSON")("routers", "number of routers", cxxopts::value<int>()->default_value("3"))(
-        "scenario", "run only this scenario", cxxopts::value<std::string>()->default_value(""))(
-        "policy", "run only this policy", cxxopts::value<std::string>()->default_value(""));
-    return options;
+    fmt::print(
+        "{:<18}{:<20}{:>9}{:>12}{:>10}{:>10}{:>10}\n",
+        "scenario",
+        "policy",
+        "requests",
+        "overspend",
+        "refusals",
+        "false",
+        "appends");
+}
+
+Json::Value run_scenario(budget_scenario const& scenario, bench_options const& options)
+{
+    Json::Value entry(Json::objectValue);
+    entry["name"] = scenario.name;
+    entry["policies"] = Json::Value(Json::arrayValue);
+    for (auto const& policy : policies)
+    {
+        if (!options.policy.empty() && options.policy != policy.name)
+            continue;
+        auto const result = budget_run(scenario, policy).execute();
+        entry["policies"].append(to_json(policy.name, result));
+        if (!options.is_json)
+            print_row(scenario.name, policy.name, result);
+    }
+    return entry;
 }
 
 } // namespace
 
-int run_budget_command(int argc, char** argv)
+} // namespace almondcart::bench
+
+namespace almondcart {
+
+int run_budget_bench(bench_options const& options)
 {
-    auto const arguments = create_options().parse(argc, argv);
-    auto const seed = arguments["seed"].as<std::uint64_t>();
-    auto const is_json = arguments.count("json") > 0;
-    auto const only_scenario = arguments["scenario"].as<std::string>();
-    auto const only_policy = arguments["policy"].as<std::string>();
     Json::Value output(Json::objectValue);
-    output["seed"] = Json::UInt64(seed);
+    output["seed"] = Json::UInt64(options.seed);
     output["scenarios"] = Json::Value(Json::arrayValue);
-    if (!is_json)
-        fmt::print(
-            "{:<18}{:<20}{:>9}{:>12}{:>10}{:>10}{:>10}\n",
-            "scenario",
-            "policy",
-            "requests",
-            "overspend",
-            "refusals",
-            "false",
-            "appends");
-    for (auto const& scenario : create_budget_scenarios(seed, arguments["routers"].as<int>()))
+    if (!options.is_json)
+        bench::print_header();
+    for (auto const& scenario : bench::create_budget_scenarios(options.seed, options.routers))
     {
-        if (!only_scenario.empty() && only_scenario != scenario.name)
-            continue;
-        Json::Value entry(Json::objectValue);
-        entry["name"] = scenario.name;
-        entry["policies"] = Json::Value(Json::arrayValue);
-        for (auto const& policy : policies)
-        {
-            if (!only_policy.empty() && only_policy != policy.name)
-                continue;
-            auto const result = budget_run(scenario, policy).execute();
-            entry["policies"].append(to_json(policy.name, result));
-            if (!is_json)
-                print_row(scenario.name, policy.name, result);
-        }
-        output["scenarios"].append(std::move(entry));
+        if (options.scenario.empty() || options.scenario == scenario.name)
+            output["scenarios"].append(bench::run_scenario(scenario, options));
     }
-    if (is_json)
+    if (options.is_json)
     {
         Json::StreamWriterBuilder writer;
         writer["indentation"] = "";
@@ -201,4 +198,4 @@
     return 0;
 }
 
-} // namespace almondcart::bench
+} // namespace almondcart
--- a/utilities/bench/main.cpp
+++ b/utilities/bench/main.cpp
@@ -1,45 +1,83 @@
-#include "budget_command.hpp"
-
 #include <cxxopts.hpp>
 
 #include <array>
+#include <cstdint>
 #include <iostream>
+#include <string>
 #include <string_view>
 
+#include "bench_options.hpp"
+#include "budget_bench.hpp"
+#include "routing_bench.hpp"
+
 namespace {
 
-struct command
+using almondcart::bench_options;
+
+struct subcommand
 {
     std::string_view name;
-    int (*run)(int, char**);
+    int (*run)(bench_options const& options);
 };
 
-constexpr std::array commands = {
-    command{"budget", almondcart::bench::run_budget_command},
+constexpr std::array subcommands{
+    subcommand{"budget", almondcart::run_budget_bench},
+    subcommand{
+        "routing",
+        [](bench_options const& it) { return almondcart::run_routing_bench(it.seed, it.is_json); }},
 };
 
-int print_usage()
+cxxopts::Options create_options()
 {
-    std::cerr << "usage: almondcart-bench COMMAND --seed N [--json], where COMMAND is one of:\n";
-    for (auto const& it : commands)
-        std::cerr << "  " << it.name << "\n";
-    return 2;
+    cxxopts::Options options("almondcart-bench", "Measures decisions in virtual time.");
+    options.positional_help("budget|routing");
+    auto add = options.add_options();
+    add("command", "what to measure", cxxopts::value<std::string>());
+    add("seed", "seed of the traces", cxxopts::value<std::uint64_t>()->default_value("1"));
+    add("json", "print JSON instead of a table");
+    add("routers", "budget: number of routers", cxxopts::value<int>()->default_value("3"));
+    add("scenario", "budget: only this one", cxxopts::value<std::string>()->default_value(""));
+    add("policy", "budget: only this one", cxxopts::value<std::string>()->default_value(""));
+    add("help", "print this help");
+    options.parse_positional({"command"});
+    return options;
+}
+
+bench_options read_options(cxxopts::ParseResult const& arguments)
+{
+    return {
+        arguments["seed"].as<std::uint64_t>(),
+        arguments.count("json") > 0,
+        arguments["routers"].as<int>(),
+        arguments["scenario"].as<std::string>(),
+        arguments["policy"].as<std::string>()};
 }
 
 } // namespace
 
 int main(int argc, char** argv)
-try
 {
-    for (auto const& it : commands)
+    auto options = create_options();
+    try
     {
-        if (argc > 1 && it.name == argv[1])
-            return it.run(argc - 1, argv + 1);
+        auto const arguments = options.parse(argc, argv);
+        if (arguments.count("help") > 0)
+        {
+            std::cout << options.help();
+            return 0;
+        }
+        auto const name = arguments["command"].as<std::string>();
+        for (auto const& it : subcommands)
+        {
+            if (it.name == name)
+                return it.run(read_options(arguments));
+        }
+        std::cerr << "almondcart-bench: unknown command \"" << name << "\"\n";
     }
-    return print_usage();
-}
-catch (cxxopts::exceptions::exception const& error)
-{
-    std::cerr << "almondcart-bench: " << error.what() << "\n";
+    catch (std::exception const& error)
+    {
+        std::cerr << "almondcart-bench: " << error.what() << '\n';
+    }
+    std::cerr << options.help();
     return 2;
 }
