--- a/services/router/upstream_pool.cpp
+++ b/services/router/upstream_pool.cpp
@@ -64,7 +64,8 @@
 
 void upstream_pool::tick(int live_routers)
 {
-    queue_.set_limit(selector_.concurrency_limit(live_routers));
+    selector_.set_routers(live_routers);
+    queue_.set_limit(selector_.concurrency_limit());
     queue_.tick();
 }
 
