Ledger: Fold budget shards and configuration, split checkpoints

Ruled out: remembering each (writer, sequence), which grows without bound; forgetting every idle writer, because a repeated return of a grant holder would then lower its grant twice.

An ended agent incarnation stays required by the grants it may have served; reports of an incomplete recover record count later. A usage item that claims a start far in the future is invalid, because a repeat of it would pass the late rule after its key expired.

--- a/libraries/ledger/include/almondcart/ledger/budget_shard_state.hpp
+++ b/libraries/ledger/include/almondcart/ledger/budget_shard_state.hpp
@@ -1,14 +1,17 @@
 #pragma once
 
 #include <almondcart/ledger/records.hpp>
+#include <almondcart/ledger/writer_sequences.hpp>
 
 #include <json/json.h>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace almondcart {
@@ -34,6 +37,7 @@
     grant_state state = grant_state::open;
     std::int64_t granted_at_ms = 0; ///< log time
     std::int64_t closed_at = -1;    ///< offset of the close record, -1 while open
+    std::set<process_id> reports;   ///< agent incarnations reported by incomplete recover records
 };
 
 /// Budget as folded from the log.
@@ -71,7 +75,8 @@
     process_id id;
     std::string upstream;
     std::int64_t started_at = -1; ///< offset of agent_start
-    std::int64_t stopped_at = -1; ///< offset of agent_stop, -1 while running
+    std::int64_t stopped_at = -1; ///< offset of agent_stop or of a newer start, -1 while running
+    std::int64_t stopped_ms = -1; ///< log time of `stopped_at`
 };
 
 /// Counters of records that the fold refused; each should stay 0 but for the named races.
@@ -81,7 +86,13 @@
     std::int64_t late_usage = 0;
     std::int64_t usage_of_recovered_grant = 0;
     std::int64_t usage_beyond_grant = 0; ///< a holder overdrew its grant: a fault of ours
-    std::int64_t invalid = 0;
+    std::int64_t late_intent = 0;
+    std::int64_t invalid = 0;     ///< breaks a rule that every correct writer follows
+    std::int64_t known_facts = 0; ///< states or contradicts what was decided: expected in races
+    std::int64_t repeats = 0;     ///< same writer and sequence: expected after lost responses
+    std::int64_t unparsed = 0;    ///< not a record of this version
+
+    friend bool operator==(shard_refusals const&, shard_refusals const&) = default;
 };
 
 /// State of one budget shard, folded from its stream in log order. Deterministic: two folds of the
@@ -100,6 +111,9 @@
     /// Notes that the stream was read up to `offset` even if those records could not be parsed.
     void advance(std::int64_t offset);
 
+    /// Counts a record that could not be parsed, and advances to it.
+    void skip(std::int64_t offset, std::int64_t time_ms);
+
     int shard() const { return shard_; }
 
     /// Offset of the last folded record, -1 if none.
@@ -121,14 +135,68 @@
     /// Agent incarnations that must report before the closed grant can be recovered.
     std::vector<process_id> required_reports(grant_id const& id) const;
 
-    /// Whether the shard has folded the record with this writer and sequence.
+    /// Whether the shard has folded the record with this writer and sequence. Meaningful only for
+    /// records that the writer appended to this stream, because it compares with the writer's
+    /// highest sequence.
     bool has_folded(process_id const& writer, std::int64_t sequence) const;
 
-    /// Whole state for checkpoints and peers.
+    /// Whole state for checkpoints and peers. Two equal states have equal JSON forms.
     Json::Value to_json() const;
+
+    /// Errors carry `malformed_request`.
     static absl::StatusOr<budget_shard_state> from_json(Json::Value const& value);
 
 private:
+    enum class usage_result
+    {
+        billed,
+        duplicate,
+        late,
+        grant_recovered,
+        beyond_grant,
+        invalid,
+    };
+
+    using part_totals = std::map<grant_id, token_count>;
+
+    void move_to(std::int64_t offset, std::int64_t time_ms);
+    void remove_expired();
+    void remove_expired_requests();
+    void remove_expired_agents();
+    bool is_late(std::int64_t started_ms) const;
+    bool is_of_shard(account_id const& account) const;
+    bool holds_grant(process_id const& writer) const;
+
+    void fold(log_record const& record);
+    void fold_body(process_id const& writer, limit_record const& body);
+    void fold_body(process_id const& writer, grant_record const& body);
+    void fold_body(process_id const& writer, return_record const& body);
+    void fold_body(process_id const& writer, usage_record const& body);
+    void fold_body(process_id const& writer, close_record const& body);
+    void fold_body(process_id const& writer, recover_record const& body);
+    void fold_body(process_id const& writer, agent_start_record const& body);
+    void fold_body(process_id const& writer, agent_stop_record const& body);
+    void fold_body(process_id const& writer, intent_record const& body);
+    void fold_body(process_id const& writer, void_record const& body);
+    void fold_body(process_id const& writer, outcome_record const& body);
+    void fold_body(process_id const& writer, publish_record const& body);
+    void fold_body(process_id const& writer, crash_report_record const& body);
+
+    usage_result try_bill(usage_item const& item);
+    usage_result check_parts(account_id const& account, part_totals const& totals) const;
+    void count_usage(usage_result result);
+    void settle(grant_entry& grant);
+    void recover(grant_entry& grant);
+    void remove_grant(grant_entry const& grant);
+    void forget_demand(budget_entry& budget, process_id const& holder);
+    void end_agent(agent_entry& agent);
+    void touch(request_id const& id, request_entry& entry);
+
+    Json::Value recovered_to_json() const;
+    void read_recovered(json_reader& reader);
+    void read_members(json_reader& reader);
+    absl::Status link_entries();
+
     int shard_;
     std::int64_t offset_ = -1;
     std::int64_t time_ms_ = 0;
@@ -137,6 +205,18 @@
     std::map<request_id, request_entry> requests_;
     std::map<process_id, agent_entry> agents_;
     shard_refusals refusals_;
+    writer_sequences writers_;
+
+    /// Grants that were recovered within the request key window, by log time of the recovery. Tells
+    /// usage of a recovered grant from usage beyond an exhausted one.
+    std::map<grant_id, std::int64_t> recovered_;
+    std::deque<std::pair<std::int64_t, grant_id>> recovered_expiry_;
+
+    /// Requests by log time, ascending. An element is outdated where the request has a newer time.
+    std::deque<std::pair<std::int64_t, request_id>> request_expiry_;
+
+    /// Ended agent incarnations by log time of their end, ascending.
+    std::deque<std::pair<std::int64_t, process_id>> agent_expiry_;
 };
 
 } // namespace almondcart
--- a/libraries/ledger/include/almondcart/ledger/configuration_state.hpp
+++ b/libraries/ledger/include/almondcart/ledger/configuration_state.hpp
@@ -1,15 +1,16 @@
 #pragma once
 
 #include <almondcart/ledger/records.hpp>
+#include <almondcart/ledger/writer_sequences.hpp>
 
 #include <json/json.h>
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
-#include <optional>
+#include <set>
 #include <string>
-#include <vector>
 
 namespace almondcart {
 
@@ -36,6 +37,23 @@
     std::string reason;       ///< of a rejection
 };
 
+/// Crashes that were reported for one fingerprint.
+struct crash_entry
+{
+    std::set<std::string> agents;  ///< process id texts; at most `crashes_to_block` are kept
+    std::int64_t last_offset = -1; ///< of the newest counted report
+};
+
+/// Counters of records that the fold refused.
+struct configuration_refusals
+{
+    std::int64_t rejected_publishes = 0; ///< expected when operators publish concurrently
+    std::int64_t known_facts = 0;        ///< repeated reports of one crash: expected in races
+    std::int64_t invalid = 0;            ///< records of other streams
+    std::int64_t repeats = 0;            ///< same writer and sequence: after lost responses
+    std::int64_t unparsed = 0;           ///< not a record of this version
+};
+
 /// State of the `config` stream, folded in log order.
 class configuration_state
 {
@@ -46,13 +64,23 @@
     /// Crashes after which a fingerprint is blocked.
     static constexpr int crashes_to_block = 2;
 
+    /// Number of fingerprints with crash reports that are kept. The oldest is dropped first;
+    /// blocked ones only if nothing else is left.
+    static constexpr std::size_t fingerprint_limit = 4096;
+
     /// Folds the record. Offsets at or below `offset()` are ignored, so state never moves back.
     void apply(stored_record const& record);
     void advance(std::int64_t offset);
 
+    /// Counts a record that could not be parsed, and advances to it.
+    void skip(std::int64_t offset, std::int64_t time_ms);
+
     /// Offset of the last folded record, -1 if none.
     std::int64_t offset() const { return offset_; }
 
+    /// Newest log time seen, in milliseconds.
+    std::int64_t time_ms() const { return time_ms_; }
+
     published_document const* find_document(std::string const& service) const;
     std::map<std::string, published_document> const& documents() const { return documents_; }
 
@@ -61,13 +89,42 @@
 
     bool is_blocked(std::string const& fingerprint) const;
 
+    std::map<std::string, crash_entry> const& crashes() const { return crashes_; }
+    configuration_refusals const& refusals() const { return refusals_; }
+
+    /// Whole state for checkpoints, peers and agents. Two equal states have equal JSON forms.
     Json::Value to_json() const;
+
+    /// Errors carry `malformed_request`.
     static absl::StatusOr<configuration_state> from_json(Json::Value const& value);
 
 private:
+    void move_to(std::int64_t offset, std::int64_t time_ms);
+    void fold(log_record const& record);
+    void fold_publish(log_record const& record, publish_record const& body);
+    void fold_crash_report(crash_report_record const& body);
+
+    /// Reason to reject the publication, or an empty text. Sets `document` if it is valid.
+    std::string check_publish(
+        publish_record const& body,
+        std::shared_ptr<service_document const>& document) const;
+    std::string find_key_conflict(service_document const& document) const;
+    void limit_fingerprints();
+
+    Json::Value documents_to_json() const;
+    Json::Value results_to_json() const;
+    Json::Value crashes_to_json() const;
+    void read_members(json_reader& reader);
+    void read_document(json_reader& reader);
+    void read_result(json_reader& reader);
+
     std::int64_t offset_ = -1;
+    std::int64_t time_ms_ = 0;
     std::map<std::string, published_document> documents_;
-    std::vector<publish_result> results_;
+    std::deque<publish_result> results_; ///< in log order
+    std::map<std::string, crash_entry> crashes_;
+    configuration_refusals refusals_;
+    writer_sequences writers_;
 };
 
 } // namespace almondcart
--- a/libraries/ledger/include/almondcart/ledger/records.hpp
+++ b/libraries/ledger/include/almondcart/ledger/records.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <almondcart/core/identifiers.hpp>
+#include <almondcart/core/json_reader.hpp>
 #include <almondcart/document/service_document.hpp>
 
 #include <absl/status/statusor.h>
@@ -17,6 +18,9 @@
 /// Number of tokens. Never negative in a valid record.
 using token_count = std::int64_t;
 
+/// Largest token count in one record. Sums of thousands of such counts fit 64 bits.
+inline constexpr token_count token_count_limit = 1'000'000'000'000'000;
+
 /// Tokens under one grant.
 struct grant_part
 {
@@ -178,7 +182,9 @@
 /// Value of the member `type`, for example "grant".
 std::string_view type_name(record_body const& body);
 
-/// Stream that a record belongs to: "config" or "budget-N".
+/// Stream that a record belongs to: "config" or "budget-N". Empty for `agent_start_record` and
+/// `agent_stop_record`, which are appended to every shard, and for a usage record without items.
+/// The items of one usage record must belong to one shard.
 std::string stream_of(record_body const& body);
 
 std::string const& config_stream();
@@ -187,6 +193,14 @@
 
 Json::Value to_json(log_record const& record);
 
+/// JSON forms of the parts that messages between processes share with the log.
+Json::Value to_json(grant_part const& part);
+Json::Value to_json(usage_item const& item);
+
+/// Reads the members of an item; errors are kept in the reader.
+grant_part read_grant_part(json_reader& reader);
+usage_item read_usage_item(json_reader& reader);
+
 /// Errors carry `malformed_request`.
 absl::StatusOr<log_record> parse_record(Json::Value const& value);
 
