Stand-ins: Add model engine

Routing, crash and budget tests need an engine whose answers are a function of the request, with continuous batching, a bounded prefix cache, late events with gaps, lagging load, resume, cancel, orders and a crash on marked prompts.

Answers derive from a hash of the prompt, so a caller's whole answer can be checked. A crash closes the listener and all connections within the process, because processes start no others.

--- a/tests/standins.cpp
+++ b/tests/standins.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "engine/engine_standin.hpp"
 #include "log/log_standin.hpp"
 
 using namespace almondcart;
@@ -170,3 +171,101 @@
     it.call("/faults", R"({"mode":"up","expire_before_ms":2000})");
     cr_assert_eq(it.read("a", 0)["first_offset"].asInt(), 1);
 }
+
+namespace {
+
+/// Engine with a caller.
+struct engine_fixture
+{
+    answer call(std::string const& method, std::string const& path, std::string const& body)
+    {
+        answer it;
+        http_request request;
+        request.address = server->address();
+        request.method = method;
+        request.path = path;
+        request.headers = {{"request-id", "r1"}};
+        request.body = body;
+        http_callbacks callbacks;
+        callbacks.on_body = [&it](std::string_view data) { it.body += data; };
+        callbacks.on_done = [&it](absl::Status status) { it.result = std::move(status); };
+        client.request(std::move(request), std::move(callbacks));
+        loop.run_until([&] { return it.result.has_value(); });
+        return it;
+    }
+
+    answer complete(std::string const& prompt)
+    {
+        return call(
+            "POST",
+            "/v1/chat/completions",
+            R"({"max_tokens":5,"messages":[{"role":"user","content":")" + prompt + R"("}]})");
+    }
+
+    static engine_standin_settings settings()
+    {
+        engine_standin_settings it;
+        it.token_interval = duration(1);
+        it.is_fencing_checked = true;
+        it.crash_marker = "POISON";
+        it.restart_time = duration(1);
+        return it;
+    }
+
+    event_loop loop;
+    std::unique_ptr<http_server> server = http_server::create(loop, {"127.0.0.1:0"}).value();
+    http_client client{loop};
+    engine_standin engine{loop, *server, settings()};
+};
+
+} // namespace
+
+// Guards against answers that a test cannot tell apart, and against wrong usage figures.
+Test(engine_standin, answer_is_a_function_of_the_request)
+{
+    engine_fixture it;
+    auto const first = it.complete("one two three");
+    cr_assert(first.is_ok());
+    std::string expected;
+    for (auto const& word : engine_standin::output_of("one two three", 5))
+        expected += (expected.empty() ? "" : " ") + word;
+    auto const json = first.json();
+    cr_assert_eq(json["choices"][0]["message"]["content"].asString(), expected);
+    cr_assert_eq(json["usage"]["prompt_tokens"].asInt(), 3);
+    cr_assert_eq(json["usage"]["completion_tokens"].asInt(), 5);
+    cr_assert_eq(it.call("GET", "/stats", "").json()["executions"]["r1"].asInt(), 1);
+}
+
+// Guards against a resumed stream that repeats or omits words.
+Test(engine_standin, resumes_from_position)
+{
+    engine_fixture it;
+    cr_assert(it.complete("one").is_ok());
+    auto const rest = it.call("GET", "/v1/requests/r1?position=3", "");
+    cr_assert(rest.is_ok());
+    cr_assert(rest.body.find("\"position\":2") == std::string::npos);
+    cr_assert(rest.body.find("\"position\":3") != std::string::npos);
+    cr_assert(rest.body.find("\"position\":4") != std::string::npos);
+    cr_assert(rest.body.ends_with("data: [DONE]\n\n"));
+}
+
+// Guards against a crash that answers its request, or that the engine does not recover from.
+Test(engine_standin, crashes_on_marked_prompt_and_restarts)
+{
+    engine_fixture it;
+    cr_assert(!it.complete("a POISON b").is_ok());
+    answer stats;
+    while (!stats.is_ok())
+        stats = it.call("GET", "/stats", "");
+    cr_assert_eq(stats.json()["crashes"].asInt(), 1);
+    cr_assert(it.complete("harmless").is_ok());
+}
+
+// Guards against a stale order being applied by an engine that checks.
+Test(engine_standin, rejects_stale_order)
+{
+    engine_fixture it;
+    it.call("POST", "/orders", R"({"fencing_number":7,"kind":"load"})");
+    it.call("POST", "/orders", R"({"fencing_number":6,"kind":"load"})");
+    cr_assert_eq(it.call("GET", "/stats", "").json()["orders"].size(), 1);
+}
