Router: Follow the log through the log library

The first connection had its own append queue and could not start from a checkpoint.

Before: no checkpoints, no gaps.

--- a/services/router/fleet_log.cpp
+++ b/services/router/fleet_log.cpp
@@ -2,115 +2,142 @@
 
 #include <almondcart/core/clock.hpp>
 
-#include <map>
+#include <spdlog/spdlog.h>
+
+#include <utility>
 
 namespace almondcart {
 
+namespace {
+
+/// Checkpoints are written this many times within the retention of the log, so that one that fails
+/// or that is cut off by an outage does not let needed records expire.
+constexpr int checkpoints_per_retention = 4;
+
+constexpr duration checkpoint_check_interval{1'000};
+
+} // namespace
+
 fleet_log::fleet_log(
-    router_settings const& settings, process_id self, http_client& client, fleet_fold& fold)
-    : flush_interval_(settings.flush_interval)
-    , self_(std::move(self))
-    , transport_(client, settings.log_address)
+    router_settings const& settings,
+    process_id self,
+    http_client& client,
+    fleet_fold& fold,
+    std::function<bool(std::string const& stream)> writes_checkpoints)
+    : checkpoint_interval_(settings.log_retention / checkpoints_per_retention)
     , fold_(fold)
+    , writes_checkpoints_(std::move(writes_checkpoints))
+    , transport_(client, settings.log_address)
+    , client_(
+          std::move(self),
+          {[this](Json::Value const& body, log_response_function done)
+           { transport_.append(body, std::move(done)); },
+           [this](Json::Value const& body, log_response_function done)
+           { transport_.read(body, std::move(done)); },
+           system_clock_source::create()},
+          {.flush_interval = settings.flush_interval})
+{}
+
+void fleet_log::start()
 {
+    for (auto const& stream : fleet_fold::streams())
+        client_.follow(stream, create_subscriber(stream));
 }
 
-void fleet_log::tick()
+log_subscriber fleet_log::create_subscriber(std::string const& stream)
 {
-    auto const now = system_clock_source::now();
-    if(!is_reading_ && now - failed_at_ > duration(200))
-        read();
-    if(!is_appending_ && !queue_.empty() && now - appended_at_ >= flush_interval_)
-        append();
+    log_subscriber subscriber;
+    subscriber.restore = [this, stream](Json::Value const& state, std::int64_t)
+    {
+        has_gap_ = false;
+        return fold_.replace(stream, state);
+    };
+    subscriber.on_record = [this, stream](stored_record const& record)
+    { fold_.apply(stream, record); };
+    subscriber.on_unparsed = [this, stream](std::int64_t offset, std::int64_t time_ms)
+    {
+        spdlog::warn("[log] Skipped the record at {} of {}: it cannot be parsed.", offset, stream);
+        fold_.skip(stream, offset, time_ms);
+    };
+    subscriber.on_gap = [this, stream](std::int64_t needed, std::int64_t first_offset)
+    {
+        has_gap_ = true;
+        spdlog::error(
+            "[log] Records {} to {} of {} have expired; a checkpoint or a peer must fill the gap.",
+            needed,
+            first_offset - 1,
+            stream);
+    };
+    return subscriber;
 }
 
-std::int64_t fleet_log::submit(record_body body)
+void fleet_log::tick()
 {
-    auto stream = stream_of(body);
-    return submit_to(stream, std::move(body));
+    client_.tick();
+    auto const now = system_clock_source::now();
+    if (now - checkpoints_checked_ < checkpoint_check_interval)
+        return;
+    checkpoints_checked_ = now;
+    write_checkpoints();
 }
 
-std::int64_t fleet_log::submit_to(std::string const& stream, record_body body)
+void fleet_log::write_checkpoints()
 {
-    auto const sequence = next_sequence_++;
-    queue_.emplace_back(stream, to_json(log_record{self_, sequence, std::move(body)}));
-    return sequence;
+    if (!has_caught_up() || !is_available())
+        return;
+    auto const now = system_clock_source::now();
+    for (auto const& stream : fleet_fold::streams())
+    {
+        if (!writes_checkpoints_(stream) || !is_checkpoint_due(stream, now))
+            continue;
+        auto const status =
+            client_.submit_checkpoint(stream, fold_.offset(stream), fold_.to_json(stream));
+        if (!status.ok())
+        {
+            spdlog::warn("[log] Could not queue a checkpoint of {}.", stream);
+            return;
+        }
+        checkpoint_times_[stream] = now;
+    }
 }
 
-bool fleet_log::is_available() const
+bool fleet_log::is_checkpoint_due(std::string const& stream, instant now)
 {
-    return has_caught_up_ && system_clock_source::now() - read_at_ < duration(3000);
+    if (fold_.offset(stream) < 0)
+        return false;
+    auto const it = checkpoint_times_.find(stream);
+    if (it != checkpoint_times_.end())
+        return now - it->second >= checkpoint_interval_;
+    // Starts from the age of the checkpoint that this process started with.
+    auto const newest = client_.newest_checkpoint(stream);
+    duration const age =
+        newest ? duration(fold_.time_ms() - newest->time_ms) : checkpoint_interval_;
+    checkpoint_times_[stream] = now - age;
+    return age >= checkpoint_interval_;
 }
 
-void fleet_log::read()
+std::int64_t fleet_log::submit(record_body body)
 {
-    is_reading_ = true;
-    Json::Value message(Json::objectValue);
-    message["limit"] = 500;
-    message["wait_ms"] = has_caught_up_ ? 1000 : 0;
-    for(auto const& stream : fleet_fold::streams())
-    {
-        Json::Value position(Json::objectValue);
-        position["stream"] = stream;
-        position["from"] = Json::Int64(fold_.offset(stream) + 1);
-        message["positions"].append(position);
-    }
-    auto const sent = system_clock_source::now();
-    transport_.read(message, [this, sent](absl::StatusOr<Json::Value> const& value) {
-        is_reading_ = false;
-        if(!value.ok())
-        {
-            failed_at_ = system_clock_source::now();
-            return;
-        }
-        read_at_ = sent;
-        receive(*value);
-        read();
-    });
+    auto const stream = stream_of(body);
+    return submit_to(stream, std::move(body));
 }
 
-void fleet_log::receive(Json::Value const& value)
+std::int64_t fleet_log::submit_to(std::string const& stream, record_body body)
 {
-    bool is_at_end = true;
-    for(auto const& it : value["streams"])
-    {
-        auto const stream = it["stream"].asString();
-        for(auto const& record : it["records"])
-        {
-            auto parsed = parse_record(record["data"]);
-            auto const offset = record["offset"].asInt64();
-            auto const time = record["time_ms"].asInt64();
-            if(parsed.ok())
-                fold_.apply(stream, {offset, time, *std::move(parsed)});
-            else
-                fold_.skip(stream, offset, time);
-        }
-        is_at_end = is_at_end && fold_.offset(stream) + 1 >= it["next_offset"].asInt64();
-    }
-    has_caught_up_ = has_caught_up_ || is_at_end;
+    auto const sequence = client_.submit(stream, std::move(body));
+    if (sequence.ok())
+        return *sequence;
+    spdlog::error("[log] Could not queue a record for {}: the buffer is full.", stream);
+    return -1;
 }
 
-void fleet_log::append()
+void fleet_log::offer_snapshot(
+    std::string const& stream,
+    std::int64_t offset,
+    Json::Value const& state)
 {
-    is_appending_ = true;
-    appended_at_ = system_clock_source::now();
-    std::map<std::string, Json::Value> batches;
-    auto const count = queue_.size();
-    for(auto const& [stream, record] : queue_)
-        batches[stream].append(record);
-    Json::Value message(Json::objectValue);
-    for(auto const& [stream, records] : batches)
-    {
-        Json::Value batch(Json::objectValue);
-        batch["stream"] = stream;
-        batch["records"] = records;
-        message["batches"].append(batch);
-    }
-    transport_.append(message, [this, count](absl::StatusOr<Json::Value> const& value) {
-        is_appending_ = false;
-        if(value.ok())
-            queue_.erase(queue_.begin(), queue_.begin() + static_cast<std::ptrdiff_t>(count));
-    });
+    if (!client_.offer_snapshot(stream, offset, state).ok())
+        spdlog::warn("[log] Refused a peer's state of {}: it is not valid.", stream);
 }
 
 } // namespace almondcart
--- a/services/router/fleet_log.hpp
+++ b/services/router/fleet_log.hpp
@@ -1,18 +1,18 @@
 #pragma once
 
-#include "fleet_fold.hpp"
-#include "log_transport.hpp"
-#include "router_settings.hpp"
-
 #include <almondcart/http/http_client.hpp>
+#include <almondcart/log/log_client.hpp>
 
 #include <json/json.h>
 
 #include <cstdint>
-#include <deque>
+#include <functional>
+#include <map>
 #include <string>
-#include <utility>
-#include <vector>
+
+#include "fleet_fold.hpp"
+#include "log_transport.hpp"
+#include "router_settings.hpp"
 
 namespace almondcart {
 
@@ -20,37 +20,55 @@
 class fleet_log
 {
 public:
+    /// `writes_checkpoints` says whether this router is the one that writes the checkpoints of a
+    /// stream. All arguments outlive the object.
     fleet_log(
-        router_settings const& settings, process_id self, http_client& client, fleet_fold& fold);
+        router_settings const& settings,
+        process_id self,
+        http_client& client,
+        fleet_fold& fold,
+        std::function<bool(std::string const& stream)> writes_checkpoints);
+
+    /// Follows all streams.
+    void start();
 
-    void start() { read(); }
     void tick();
+
+    /// Queues a record for its stream and returns its sequence, or -1 if the buffer is full because
+    /// the log has been out for long.
     std::int64_t submit(record_body body);
     std::int64_t submit_to(std::string const& stream, record_body body);
-    bool is_available() const;
-    bool has_caught_up() const { return has_caught_up_; }
-    bool needs_snapshots() const { return !is_available(); }
-    instant read_at() const { return read_at_; }
-    void state_replaced(std::string const&) {}
-    bool is_flushed() const { return queue_.empty(); }
+
+    /// Takes a peer's state of a stream if it is ahead.
+    void offer_snapshot(std::string const& stream, std::int64_t offset, Json::Value const& state);
+
+    bool is_available() const { return client_.is_available(); }
+    bool has_caught_up() const { return client_.has_caught_up(); }
+
+    /// Whether states of peers are wanted, because the log cannot give them.
+    bool needs_snapshots() const { return !client_.is_available() || has_gap_; }
+
+    /// When the log responded last; the epoch if it never did.
+    instant read_at() const { return client_.last_contact().value_or(instant{}); }
+
+    /// Whether no record waits to be appended.
+    bool is_flushed() const { return client_.buffered_records() == 0; }
+
+    log_client const& client() const { return client_; }
 
 private:
-    void read();
-    void receive(Json::Value const& value);
-    void append();
+    log_subscriber create_subscriber(std::string const& stream);
+    void write_checkpoints();
+    bool is_checkpoint_due(std::string const& stream, instant now);
 
-    duration flush_interval_;
-    process_id self_;
-    log_transport transport_;
+    duration checkpoint_interval_;
     fleet_fold& fold_;
-    std::int64_t next_sequence_ = 1;
-    std::deque<std::pair<std::string, Json::Value>> queue_;
-    bool is_appending_ = false;
-    bool is_reading_ = false;
-    bool has_caught_up_ = false;
-    instant appended_at_{};
-    instant read_at_{};
-    instant failed_at_{};
+    std::function<bool(std::string const&)> writes_checkpoints_;
+    log_transport transport_;
+    log_client client_;
+    std::map<std::string, instant> checkpoint_times_;
+    instant checkpoints_checked_;
+    bool has_gap_ = false;
 };
 
 } // namespace almondcart
--- a/services/router/peer_links.cpp
+++ b/services/router/peer_links.cpp
@@ -22,7 +22,7 @@
     process_id self,
     std::string own_address,
     std::vector<std::string> addresses,
-    fleet_fold& fold,
+    fleet_fold const& fold,
     membership& members,
     json_rpc_client& rpc,
     hooks hooks)
@@ -121,15 +121,9 @@
             fetching_.erase(config_stream());
             if (!reply.ok() || !(*reply)["state"].isObject())
                 return;
-            auto const before = fold_.configuration().offset();
-            auto const status = fold_.replace(config_stream(), (*reply)["state"]);
-            if (status.ok() && fold_.configuration().offset() > before)
-            {
-                spdlog::info(
-                    "[config] Took the configuration at offset {} from a peer.",
-                    fold_.configuration().offset());
-                hooks_.replaced(config_stream());
-            }
+            auto const offset = (*reply)["config_offset"].asInt64();
+            spdlog::info("[config] Takes the configuration at offset {} from a peer.", offset);
+            hooks_.offer(config_stream(), offset, (*reply)["state"]);
         });
 }
 
@@ -151,8 +145,7 @@
             fetching_.erase(stream);
             if (!reply.ok() || !(*reply)["state"].isObject())
                 return;
-            if (fold_.replace(stream, (*reply)["state"]).ok())
-                hooks_.replaced(stream);
+            hooks_.offer(stream, (*reply)["offset"].asInt64(), (*reply)["state"]);
         });
 }
 
--- a/services/router/peer_links.hpp
+++ b/services/router/peer_links.hpp
@@ -25,15 +25,17 @@
         std::function<bool()> is_leaving;
         /// Whether a stream's fold may be replaced by a peer's, because the log does not serve it.
         std::function<bool()> needs_snapshots;
-        /// The configuration was replaced by a peer's newer one.
-        std::function<void(std::string const& stream)> replaced;
+        /// Takes a peer's state of a stream, folded through `offset`.
+        std::function<
+            void(std::string const& stream, std::int64_t offset, Json::Value const& state)>
+            offer;
     };
 
     peer_links(
         process_id self,
         std::string own_address,
         std::vector<std::string> addresses,
-        fleet_fold& fold,
+        fleet_fold const& fold,
         membership& members,
         json_rpc_client& rpc,
         hooks hooks);
@@ -57,7 +59,7 @@
     process_id self_;
     std::string own_address_;
     std::vector<std::string> addresses_;
-    fleet_fold& fold_;
+    fleet_fold const& fold_;
     membership& members_;
     json_rpc_client& rpc_;
     hooks hooks_;
