--- a/libraries/gate/include/almondcart/gate/work_gate.hpp
+++ b/libraries/gate/include/almondcart/gate/work_gate.hpp
@@ -42,6 +42,13 @@
     std::optional<token_count> output_tokens; ///< without it, the tokens of the output are charged
 };
 
+/// How a started call ended without a complete answer.
+enum class call_failure
+{
+    connection_lost, ///< the upstream closed or reset the connection: it may have crashed
+    incomplete,      ///< it ended its answer early, or the agent stopped waiting
+};
+
 /// Answer to `close_grant`.
 struct grant_report
 {
@@ -108,8 +115,11 @@
     /// Events of upstream calls. Events of calls that the gate does not know are ignored.
     void add_output(std::uint64_t call, std::string data, token_count tokens);
     void finish(std::uint64_t call, upstream_answer answer);
-    /// The connection ended without a complete answer; the call may have run.
-    void fail(std::uint64_t call, std::string_view detail);
+    /// The call ended without a complete answer; it may have run.
+    void fail(
+        std::uint64_t call,
+        std::string_view detail,
+        call_failure failure = call_failure::connection_lost);
     /// The connection was refused before any byte was sent: proof that the call did not run.
     void fail_before_start(std::uint64_t call, std::string_view detail);
 
--- a/libraries/gate/src/work_gate.cpp
+++ b/libraries/gate/src/work_gate.cpp
@@ -311,13 +311,16 @@
     end_record(*record, std::move(last));
 }
 
-void work_gate::fail(std::uint64_t call, std::string_view detail)
+void work_gate::fail(std::uint64_t call, std::string_view detail, call_failure failure)
 {
     auto* record = find_call(call);
     if (record == nullptr)
         return;
     ++counts_.failed;
-    monitor_.call_lost(call);
+    if (failure == call_failure::connection_lost)
+        monitor_.call_lost(call);
+    else
+        monitor_.call_ended(call);
     auto const code =
         record->frames.empty() ? result_code::upstream_lost : result_code::upstream_failed;
     end_failed(*record, code, detail);
--- /dev/null
+++ b/services/agent/agent_configuration.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <almondcart/ledger/configuration_state.hpp>
+
+#include <json/json.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace almondcart {
+
+/// Newest configuration that a router has sent. Only moves to a higher offset.
+class agent_configuration
+{
+public:
+    /// Takes the result of `configuration_since`. Returns whether the state was newer.
+    absl::StatusOr<bool> apply(Json::Value const& result);
+
+    std::int64_t offset() const { return state_.offset(); }
+    bool knows_service(std::string const& service) const;
+    bool is_blocked(std::string const& fingerprint) const { return state_.is_blocked(fingerprint); }
+
+    /// Offset of the newest publish record of the services that name `upstream` in a pool.
+    std::optional<std::int64_t> publish_offset(std::string const& upstream) const;
+
+    /// `{"service":version}`
+    Json::Value versions() const;
+
+private:
+    configuration_state state_;
+};
+
+} // namespace almondcart
--- /dev/null
+++ b/services/agent/engine_answer.cpp
@@ -0,0 +1,99 @@
+#include "engine_answer.hpp"
+
+#include <almondcart/core/json.hpp>
+
+#include <string>
+#include <utility>
+
+#include "call_table.hpp"
+
+namespace almondcart {
+
+namespace {
+
+std::optional<token_count> read_count(Json::Value const& usage, char const* name)
+{
+    auto const& count = usage[name];
+    return count.isInt64() ? std::optional<token_count>(count.asInt64()) : std::nullopt;
+}
+
+/// Engines send one token per chunk; chunks without text, for example the role, hold none.
+token_count count_tokens(Json::Value const& choices)
+{
+    auto const& choice = choices[0];
+    if (!choice.isObject() || !choice["delta"].isObject())
+        return 0;
+    auto const& content = choice["delta"]["content"];
+    return content.isString() && !content.asString().empty() ? 1 : 0;
+}
+
+} // namespace
+
+engine_answer::engine_answer(upstream_events events, std::size_t answer_limit_bytes)
+    : events_(std::move(events))
+    , limit_(answer_limit_bytes)
+    , stream_([this](std::string const& data) { read_event(data); })
+{}
+
+void engine_answer::read_head(http_response_head const& head)
+{
+    answer_.status = head.status;
+    answer_.content_type = find_header(head.headers, "content-type").value_or("");
+}
+
+void engine_answer::read_body(std::string_view text)
+{
+    if (is_stream() && !is_too_large_)
+        stream_.add(text);
+    else if (!is_stream() && answer_.data.size() + text.size() <= limit_)
+        answer_.data += text;
+    is_too_large_ = is_too_large_ || stream_.pending_bytes() > limit_;
+}
+
+void engine_answer::read_event(std::string const& data)
+{
+    if (data == "[DONE]")
+    {
+        is_complete_ = true;
+        return;
+    }
+    auto chunk = parse_json(data);
+    if (!chunk.ok() || !chunk->isObject())
+        return;
+    if ((*chunk)["usage"].isObject())
+    {
+        answer_.prompt_tokens = read_count((*chunk)["usage"], "prompt_tokens");
+        answer_.output_tokens = read_count((*chunk)["usage"], "completion_tokens");
+        is_complete_ = true;
+    }
+    auto const& choices = (*chunk)["choices"];
+    if (!choices.isArray() || choices.empty())
+        return;
+    auto const tokens = count_tokens(choices);
+    // Callers get the usage that is billed, from the final frame.
+    chunk->removeMember("usage");
+    events_.output(to_compact_json(*chunk), tokens);
+}
+
+void engine_answer::end(absl::Status const& status)
+{
+    if (!status.ok())
+    {
+        report_error(status, events_);
+        return;
+    }
+    if (is_stream() && (!is_complete_ || is_too_large_))
+    {
+        events_.failed("the engine ended its answer early", call_failure::incomplete);
+        return;
+    }
+    if (!is_stream())
+    {
+        // An error response produced no tokens.
+        answer_.prompt_tokens = 0;
+        answer_.output_tokens = 0;
+    }
+    events_.finished(std::move(answer_));
+}
+
+} // namespace almondcart
--- /dev/null
+++ b/services/agent/engine_answer.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <almondcart/http/http_client.hpp>
+
+#include "server_sent_events.hpp"
+#include "upstream_client.hpp"
+
+namespace almondcart {
+
+/// Reads the response of an engine to one call and reports its events.
+class engine_answer
+{
+public:
+    /// `answer_limit_bytes` bounds one event, and the body of an error response.
+    engine_answer(upstream_events events, std::size_t answer_limit_bytes);
+    engine_answer(engine_answer const&) = delete;
+    engine_answer& operator=(engine_answer const&) = delete;
+
+    void read_head(http_response_head const& head);
+    void read_body(std::string_view text);
+    void end(absl::Status const& status);
+
+private:
+    void read_event(std::string const& data);
+    bool is_stream() const { return answer_.status == 200; }
+
+    upstream_events events_;
+    std::size_t limit_;
+    server_sent_events stream_;
+    upstream_answer answer_;
+    bool is_complete_ = false;
+    bool is_too_large_ = false;
+};
+
+} // namespace almondcart
--- /dev/null
+++ b/services/agent/engine_client.cpp
@@ -0,0 +1,62 @@
+#include "engine_client.hpp"
+
+#include <almondcart/core/json.hpp>
+
+#include <memory>
+#include <utility>
+
+#include "engine_answer.hpp"
+
+namespace almondcart {
+
+namespace {
+
+/// Body as the engine shall see it, or nothing if the caller's body is no object.
+std::optional<std::string> try_create_body(dispatch const& work)
+{
+    auto body = parse_json(work.body);
+    if (!body.ok() || !body->isObject())
+        return std::nullopt;
+    (*body)["stream"] = true;
+    (*body)["stream_options"]["include_usage"] = true;
+    (*body)["max_tokens"] = Json::Int64(work.output_cap);
+    return to_compact_json(*body);
+}
+
+} // namespace
+
+engine_client::engine_client(agent_settings const& settings, http_client& client)
+    : settings_(settings)
+    , client_(client)
+{}
+
+void engine_client::start(std::uint64_t call, dispatch const& work, upstream_events events)
+{
+    auto request = create_upstream_request(
+        work, settings_.upstream_address, settings_.first_byte_timeout, settings_.idle_timeout);
+    request.headers.emplace_back("Accept", "text/event-stream");
+    // The router has parsed the body before; the engine answers a broken one with its own error.
+    if (auto body = try_create_body(work))
+        request.body = std::move(*body);
+    auto const answer = std::make_shared<engine_answer>(
+        std::move(events), static_cast<std::size_t>(settings_.answer_limit_bytes));
+    http_callbacks callbacks;
+    callbacks.on_headers = [answer](http_response_head const& head) { answer->read_head(head); };
+    callbacks.on_body = [answer](std::string_view text) { answer->read_body(text); };
+    callbacks.on_done = [answer](absl::Status const& status) { answer->end(status); };
+    calls_.start(client_, call, std::move(request), std::move(callbacks));
+}
+
+std::string create_length_chunk()
+{
+    Json::Value chunk;
+    chunk["object"] = "chat.completion.chunk";
+    Json::Value choice;
+    choice["index"] = 0;
+    choice["delta"] = Json::objectValue;
+    choice["finish_reason"] = "length";
+    chunk["choices"].append(std::move(choice));
+    return to_compact_json(chunk);
+}
+
+} // namespace almondcart
--- /dev/null
+++ b/services/agent/main.cpp
@@ -0,0 +1,53 @@
+#include <almondcart/core/logging.hpp>
+
+#include <cxxopts.hpp>
+
+#include <iostream>
+#include <string>
+
+#include "agent.hpp"
+#include "agent_settings.hpp"
+
+namespace {
+
+constexpr int settings_error = 2;
+
+int fail(std::string_view message)
+{
+    std::cerr << "almondcart-agent: " << message << '\n';
+    return settings_error;
+}
+
+int run(std::string const& file)
+{
+    using namespace almondcart;
+    auto settings = agent_settings::load(file);
+    if (!settings.ok())
+        return fail(settings.status().message());
+    if (auto const status = set_up_logging(settings->name, settings->log_level); !status.ok())
+        return fail(file + ": " + std::string(status.message()));
+    auto process = agent::create(*std::move(settings));
+    if (!process.ok())
+        return fail(process.status().message());
+    (*process)->run();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("almondcart-agent", "Admission gate beside one upstream");
+    options.add_options()("settings", "settings file", cxxopts::value<std::string>());
+    try
+    {
+        auto const result = options.parse(argc, argv);
+        if (result.count("settings") == 0)
+            return fail("missing option --settings FILE");
+        return run(result["settings"].as<std::string>());
+    }
+    catch (cxxopts::OptionException const& error)
+    {
+        return fail(error.what());
+    }
+}
--- /dev/null
+++ b/services/agent/router_links.cpp
@@ -0,0 +1,164 @@
+#include "router_links.hpp"
+
+#include <almondcart/gate/usage_json.hpp>
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace almondcart {
+
+namespace {
+
+/// Two missed heartbeats make a router take the agent for gone, so one must not outlast an
+/// interval.
+constexpr duration heartbeat_timeout{900};
+constexpr duration configuration_timeout{5'000};
+constexpr duration usage_timeout{5'000};
+
+} // namespace
+
+router_links::router_links(
+    agent_settings const& settings,
+    json_rpc_client& rpc,
+    upstream_crash_monitor& monitor,
+    hooks hooks)
+    : settings_(settings)
+    , rpc_(rpc)
+    , monitor_(monitor)
+    , hooks_(std::move(hooks))
+{
+    for (auto const& address : settings_.routers)
+        links_.push_back({.address = address});
+    monitor_.set_routers(settings_.routers);
+}
+
+void router_links::send_heartbeats()
+{
+    for (auto& link : links_)
+    {
+        if (!link.is_waiting)
+            send(link);
+    }
+}
+
+void router_links::announce()
+{
+    for (auto& link : links_)
+        send(link);
+}
+
+void router_links::send(link& link)
+{
+    auto heartbeat = hooks_.create_heartbeat();
+    heartbeat.crashes = monitor_.unseen_by(link.address);
+    link.is_waiting = true;
+    rpc_.call(
+        link.address,
+        "heartbeat",
+        almondcart::to_json(heartbeat),
+        heartbeat_timeout,
+        [this, &link, sent = heartbeat.crashes](absl::StatusOr<Json::Value> result)
+        { take(link, sent, std::move(result)); });
+}
+
+void router_links::take(
+    link& link,
+    std::vector<crash_notice> const& sent,
+    absl::StatusOr<Json::Value> result)
+{
+    link.is_waiting = false;
+    auto const answer = result.ok() ? parse_agent_heartbeat_result(*result)
+                                    : absl::StatusOr<agent_heartbeat_result>(result.status());
+    if (answer.ok() != link.is_answering)
+    {
+        spdlog::info(
+            "[gate] router {} {}",
+            link.address,
+            answer.ok() ? std::string("answers heartbeats")
+                        : "does not answer: " + std::string(answer.status().message()));
+    }
+    link.is_answering = answer.ok();
+    link.is_registered = answer.ok() && answer->is_registered;
+    if (!answer.ok())
+        return;
+    monitor_.mark_seen(link.address, sent);
+    auto const own_offset = hooks_.create_heartbeat().config_offset;
+    if (answer->config_offset > own_offset && !link.is_fetching)
+        fetch_configuration(link, own_offset);
+}
+
+void router_links::fetch_configuration(link& link, std::int64_t own_offset)
+{
+    link.is_fetching = true;
+    Json::Value params;
+    params["offset"] = Json::Int64(own_offset);
+    rpc_.call(
+        link.address,
+        "configuration_since",
+        params,
+        configuration_timeout,
+        [this, &link](absl::StatusOr<Json::Value> const& result)
+        {
+            link.is_fetching = false;
+            if (result.ok())
+                hooks_.take_configuration(*result);
+        });
+}
+
+router_links::link* router_links::next_answering()
+{
+    for (std::size_t n = 0; n < links_.size(); ++n)
+    {
+        auto& link = links_[(next_ + n) % links_.size()];
+        if (!link.is_answering)
+            continue;
+        next_ = (next_ + n + 1) % links_.size();
+        return &link;
+    }
+    return nullptr;
+}
+
+void router_links::report_usage(std::vector<usage_item> const& items)
+{
+    auto const* link = next_answering();
+    if (link == nullptr)
+        return;
+    Json::Value params;
+    params["items"] = almondcart::to_json(items);
+    // An answer only says that the router will append the items; the gate keeps them until
+    // `acknowledge`.
+    rpc_.call(
+        link->address,
+        "report_usage",
+        params,
+        usage_timeout,
+        [address = link->address](absl::StatusOr<Json::Value> const& result)
+        {
+            if (!result.ok())
+                spdlog::warn(
+                    "[gate] router {} did not take usage: {}", address, result.status().message());
+        });
+}
+
+bool router_links::is_registered() const
+{
+    return std::ranges::any_of(links_, [](link const& it) { return it.is_registered; });
+}
+
+Json::Value router_links::to_json() const
+{
+    Json::Value json(Json::arrayValue);
+    for (auto const& link : links_)
+    {
+        Json::Value entry;
+        entry["address"] = link.address;
+        entry["answering"] = link.is_answering;
+        entry["registered"] = link.is_registered;
+        json.append(std::move(entry));
+    }
+    return json;
+}
+
+} // namespace almondcart
--- /dev/null
+++ b/services/agent/rpc_methods.cpp
@@ -0,0 +1,130 @@
+#include "rpc_methods.hpp"
+
+#include <almondcart/core/json_reader.hpp>
+#include <almondcart/gate/usage_json.hpp>
+
+#include <string>
+#include <utility>
+
+namespace almondcart {
+
+namespace {
+
+constexpr std::int64_t attempt_limit = 1'000'000;
+
+request_id read_request(json_reader& reader)
+{
+    auto const request = try_request_id(reader.string("request"));
+    if (!request)
+        reader.fail("request", "a request id \"service/account#key\"");
+    return request.value_or(request_id{});
+}
+
+} // namespace
+
+rpc_methods::rpc_methods(
+    json_rpc_server& server,
+    work_gate& gate,
+    order_forwarder& orders,
+    hooks hooks)
+    : gate_(gate)
+    , hooks_(std::move(hooks))
+{
+    server.bind_immediate("acknowledge", [this](auto const& it) { return acknowledge(it); });
+    server.bind_immediate("close_grant", [this](auto const& it) { return close_grant(it); });
+    server.bind_immediate("fence_request", [this](auto const& it) { return fence_request(it); });
+    server.bind_immediate("find_request", [this](auto const& it) { return find_request(it); });
+    server.bind_immediate("cancel", [this](auto const& it) { return cancel(it); });
+    server.bind_immediate(
+        "drain",
+        [this](auto const&) -> absl::StatusOr<Json::Value>
+        {
+            hooks_.drain();
+            return create_result();
+        });
+    server.bind(
+        "order",
+        [this, &orders](Json::Value const& params, json_rpc_server::reply_function reply)
+        {
+            orders.handle(
+                params,
+                [this, reply = std::move(reply)](absl::StatusOr<Json::Value> const& result)
+                { reply(result.ok() ? create_result() : result); });
+        });
+}
+
+Json::Value rpc_methods::create_result() const
+{
+    Json::Value result;
+    result["config_offset"] = Json::Int64(hooks_.config_offset());
+    return result;
+}
+
+absl::StatusOr<Json::Value> rpc_methods::acknowledge(Json::Value const& params)
+{
+    json_reader reader(params, "acknowledge", result_code::malformed_request);
+    std::vector<request_id> requests;
+    for (auto const& text : reader.strings("requests"))
+    {
+        if (auto const request = try_request_id(text))
+            requests.push_back(*request);
+        else
+            reader.fail("requests", "request ids \"service/account#key\"");
+    }
+    if (auto const status = reader.finish(); !status.ok())
+        return status;
+    gate_.acknowledge(requests);
+    return create_result();
+}
+
+absl::StatusOr<Json::Value> rpc_methods::close_grant(Json::Value const& params)
+{
+    json_reader reader(params, "close_grant", result_code::malformed_request);
+    auto const grant = try_grant_id(reader.string("grant"));
+    if (!grant)
+        reader.fail("grant", "a grant id \"shard:offset\"");
+    if (auto const status = reader.finish(); !status.ok())
+        return status;
+    auto const report = gate_.close_grant(*grant);
+    auto result = create_result();
+    result["agent"] = to_text(gate_.self());
+    result["finished"] = to_json(report.finished);
+    result["running"] = report.running;
+    return result;
+}
+
+absl::StatusOr<Json::Value> rpc_methods::fence_request(Json::Value const& params)
+{
+    json_reader reader(params, "fence_request", result_code::malformed_request);
+    auto const request = read_request(reader);
+    auto const attempt = static_cast<int>(reader.integer("attempt", 1, attempt_limit));
+    if (auto const status = reader.finish(); !status.ok())
+        return status;
+    auto result = create_result();
+    result["state"] = std::string(name_of(gate_.fence_request(request, attempt)));
+    return result;
+}
+
+absl::StatusOr<Json::Value> rpc_methods::find_request(Json::Value const& params)
+{
+    json_reader reader(params, "find_request", result_code::malformed_request);
+    auto const request = read_request(reader);
+    if (auto const status = reader.finish(); !status.ok())
+        return status;
+    auto result = create_result();
+    result["state"] = std::string(name_of(gate_.find_request(request)));
+    result["agent"] = to_text(gate_.self());
+    return result;
+}
+
+absl::StatusOr<Json::Value> rpc_methods::cancel(Json::Value const& params)
+{
+    json_reader reader(params, "cancel", result_code::malformed_request);
+    auto const request = read_request(reader);
+    if (auto const status = reader.finish(); !status.ok())
+        return status;
+    gate_.cancel(request);
+    return create_result();
+}
+
+} // namespace almondcart
--- /dev/null
+++ b/services/agent/service_client.cpp
@@ -0,0 +1,65 @@
+#include "service_client.hpp"
+
+#include <memory>
+#include <utility>
+
+namespace almondcart {
+
+namespace {
+
+/// Answer while it is received.
+struct partial_answer
+{
+    upstream_events events;
+    upstream_answer answer;
+    std::size_t limit = 0;
+    bool is_too_large = false;
+};
+
+void add_body(partial_answer& partial, std::string_view text)
+{
+    if (partial.answer.data.size() + text.size() > partial.limit)
+        partial.is_too_large = true;
+    else
+        partial.answer.data += text;
+}
+
+void end(partial_answer& partial, absl::Status const& status)
+{
+    if (!status.ok())
+        report_error(status, partial.events);
+    else if (partial.is_too_large)
+        partial.events.failed("the answer exceeds the size limit", call_failure::incomplete);
+    else
+        partial.events.finished(std::move(partial.answer));
+}
+
+} // namespace
+
+service_client::service_client(agent_settings const& settings, http_client& client)
+    : settings_(settings)
+    , client_(client)
+{}
+
+void service_client::start(std::uint64_t call, dispatch const& work, upstream_events events)
+{
+    auto const partial = std::make_shared<partial_answer>();
+    partial->events = std::move(events);
+    partial->limit = static_cast<std::size_t>(settings_.answer_limit_bytes);
+    http_callbacks callbacks;
+    callbacks.on_headers = [partial](http_response_head const& head)
+    {
+        partial->answer.status = head.status;
+        partial->answer.content_type = find_header(head.headers, "content-type").value_or("");
+    };
+    callbacks.on_body = [partial](std::string_view text) { add_body(*partial, text); };
+    callbacks.on_done = [partial](absl::Status const& status) { end(*partial, status); };
+    calls_.start(
+        client_,
+        call,
+        create_upstream_request(
+            work, settings_.upstream_address, settings_.first_byte_timeout, settings_.idle_timeout),
+        std::move(callbacks));
+}
+
+} // namespace almondcart
--- /dev/null
+++ b/services/agent/work_endpoint.hpp
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <almondcart/gate/work_gate.hpp>
+#include <almondcart/http/http_server.hpp>
+
+#include <memory>
+
+namespace almondcart {
+
+/// Serves `POST /work`: one exchange is one reader of the gate.
+class work_endpoint
+{
+public:
+    /// Binds the route. `gate` must outlive the server.
+    work_endpoint(http_server& server, work_gate& gate);
+
+private:
+    void serve(std::shared_ptr<http_exchange> const& exchange);
+
+    work_gate& gate_;
+};
+
+} // namespace almondcart
