Gate, Agent: Tell routers which requests ran as crash suspects

A crash notice did not say whether a request ran as a suspect, so a router could not tell the culprit of a second crash from the requests beside it. The dispatch now states what the router knows, the monitor adds what it knows itself, and the heartbeat states that a suspect runs. The agent also answers place and clear_fingerprint as the home of a prefix, reports usage with its incarnation, and reports agent_stopped when it has drained.

usage_json no longer defines to_json(usage_item), which the ledger library defines too.

--- a/libraries/gate/include/almondcart/gate/dispatch.hpp
+++ b/libraries/gate/include/almondcart/gate/dispatch.hpp
@@ -22,6 +22,7 @@
     std::vector<grant_part> grants; ///< reservation, charged in this order
     std::string kind;
     bool is_idempotent = true;
+    bool is_suspect = false;       ///< it ran during a crash before, as the router knows
     token_count prompt_tokens = 0; ///< upper bound; the fixed charge of a call to a plain service
     token_count output_cap = 0;    ///< 0 for plain services
     int priority = 0;
--- a/libraries/gate/include/almondcart/gate/heartbeat.hpp
+++ b/libraries/gate/include/almondcart/gate/heartbeat.hpp
@@ -16,6 +16,7 @@
 {
     request_id request;
     std::string fingerprint;
+    bool ran_as_suspect = false; ///< it had run during an earlier crash already
 
     friend bool operator==(crashed_request const&, crashed_request const&) = default;
 };
@@ -40,6 +41,7 @@
     int queue = 0;                           ///< requests that wait in the upstream
     int running = 0;                         ///< requests that run in the gate
     int free_slots = 0;                      ///< 0 while the upstream is down or leaving
+    bool is_suspect_running = false;         ///< no other crash suspect may be sent now
     std::vector<std::string> cache_prefixes; ///< prefix hashes, a hint
     std::vector<crash_notice> crashes;       ///< not yet acknowledged by this router
 
--- a/libraries/gate/include/almondcart/gate/upstream_crash_monitor.hpp
+++ b/libraries/gate/include/almondcart/gate/upstream_crash_monitor.hpp
@@ -31,10 +31,12 @@
     {
         clock_function now;
         std::function<std::string()> create_crash_id;
+        std::function<void(crash_notice const&)> crashed; ///< may be empty
     };
 
     explicit upstream_crash_monitor(hooks hooks);
 
+    /// The request counts as a suspect if it says so, or if it is one here.
     void call_started(std::uint64_t call, crashed_request request);
 
     /// The upstream answered, or the call was cancelled here.
--- a/libraries/gate/include/almondcart/gate/usage_json.hpp
+++ b/libraries/gate/include/almondcart/gate/usage_json.hpp
@@ -17,10 +17,8 @@
 /// Reads the array member `name` of grant parts. Errors are recorded in `reader`.
 std::vector<grant_part> read_grant_parts(json_reader& reader, std::string_view name);
 
-/// Usage item in messages between agents and routers:
-/// `{"request":..,"started_ms":..,"parts":[..]}`.
-Json::Value to_json(usage_item const& item);
-
+/// Usage items in messages between agents and routers:
+/// `[{"request":..,"started_ms":..,"parts":[..]}]`.
 Json::Value to_json(std::vector<usage_item> const& items);
 
 /// Reads the array member `name` of usage items. Errors are recorded in `reader`.
--- a/libraries/gate/src/dispatch.cpp
+++ b/libraries/gate/src/dispatch.cpp
@@ -38,6 +38,7 @@
     value.grants = read_grant_parts(reader, "grants");
     value.kind = reader.string("kind");
     value.is_idempotent = reader.boolean("idempotent");
+    value.is_suspect = reader.boolean_or("suspect", false);
     value.prompt_tokens = reader.integer("prompt_tokens", 0, request_token_limit);
     value.output_cap = reader.integer("output_cap", 0, request_token_limit);
     value.priority =
@@ -74,6 +75,7 @@
     json["grants"] = to_json(value.grants);
     json["kind"] = value.kind;
     json["idempotent"] = value.is_idempotent;
+    json["suspect"] = value.is_suspect;
     json["prompt_tokens"] = Json::Int64(value.prompt_tokens);
     json["output_cap"] = Json::Int64(value.output_cap);
     json["priority"] = value.priority;
--- a/libraries/gate/src/heartbeat.cpp
+++ b/libraries/gate/src/heartbeat.cpp
@@ -30,6 +30,7 @@
         Json::Value entry;
         entry["request"] = to_text(request.request);
         entry["fingerprint"] = request.fingerprint;
+        entry["suspect"] = request.ran_as_suspect;
         json["requests"].append(std::move(entry));
     }
     return json;
@@ -46,7 +47,8 @@
             auto const request = try_request_id(it.string("request"));
             if (!request)
                 it.fail("request", "a request id \"service/account#key\"");
-            notice.requests.push_back({request.value_or(request_id{}), it.string("fingerprint")});
+            notice.requests.push_back(
+                {request.value_or(request_id{}), it.string("fingerprint"), it.boolean("suspect")});
         });
     return notice;
 }
@@ -64,6 +66,7 @@
     json["queue"] = value.queue;
     json["running"] = value.running;
     json["free_slots"] = value.free_slots;
+    json["suspect_running"] = value.is_suspect_running;
     json["cache_prefixes"] = Json::arrayValue;
     for (auto const& prefix : value.cache_prefixes)
         json["cache_prefixes"].append(prefix);
@@ -94,6 +97,7 @@
     value.queue = static_cast<int>(reader.integer("queue", 0, count_limit));
     value.running = static_cast<int>(reader.integer("running", 0, count_limit));
     value.free_slots = static_cast<int>(reader.integer("free_slots", 0, count_limit));
+    value.is_suspect_running = reader.boolean("suspect_running");
     value.cache_prefixes = reader.strings("cache_prefixes");
     reader.objects("crashes", [&](json_reader& it) { value.crashes.push_back(read_crash(it)); });
     if (auto const status = reader.finish(); !status.ok())
--- a/libraries/gate/src/upstream_crash_monitor.cpp
+++ b/libraries/gate/src/upstream_crash_monitor.cpp
@@ -11,6 +11,7 @@
 
 void upstream_crash_monitor::call_started(std::uint64_t call, crashed_request request)
 {
+    request.ran_as_suspect = request.ran_as_suspect || suspects_.contains(request.fingerprint);
     running_.insert_or_assign(call, std::move(request));
 }
 
@@ -59,8 +60,7 @@
 
 bool upstream_crash_monitor::is_suspect_running() const
 {
-    return std::ranges::any_of(
-        running_, [&](auto const& it) { return suspects_.contains(it.second.fingerprint); });
+    return std::ranges::any_of(running_, [](auto const& it) { return it.second.ran_as_suspect; });
 }
 
 void upstream_crash_monitor::set_routers(std::vector<std::string> routers)
@@ -112,6 +112,8 @@
         kept.notice.requests.push_back(std::move(lost.request));
     lost_.clear();
     mark_requests(kept.notice.requests);
+    if (hooks_.crashed)
+        hooks_.crashed(kept.notice);
     notices_.push_back(std::move(kept));
     if (notices_.size() > notice_limit)
         notices_.pop_front();
@@ -119,13 +121,14 @@
 
 void upstream_crash_monitor::mark_requests(std::vector<crashed_request> const& requests)
 {
-    bool const has_suspect = std::ranges::any_of(
-        requests, [&](crashed_request const& it) { return suspects_.contains(it.fingerprint); });
+    bool const has_suspect =
+        std::ranges::any_of(requests, [](crashed_request const& it) { return it.ran_as_suspect; });
     for (auto const& request : requests)
     {
         // Requests that ran beside a known suspect are not suspected themselves.
-        if (suspects_.erase(request.fingerprint) > 0)
+        if (request.ran_as_suspect)
         {
+            suspects_.erase(request.fingerprint);
             if (blocked_.size() < fingerprint_limit)
                 blocked_.insert(request.fingerprint);
         }
--- a/libraries/gate/src/usage_json.cpp
+++ b/libraries/gate/src/usage_json.cpp
@@ -9,7 +9,7 @@
 
 constexpr std::int64_t number_limit = std::numeric_limits<std::int64_t>::max();
 
-grant_part read_grant_part(json_reader& it)
+grant_part read_reserved_part(json_reader& it)
 {
     grant_part part;
     auto const grant = try_grant_id(it.string("grant"));
@@ -39,24 +39,21 @@
 std::vector<grant_part> read_grant_parts(json_reader& reader, std::string_view name)
 {
     std::vector<grant_part> parts;
-    reader.objects(name, [&](json_reader& it) { parts.push_back(read_grant_part(it)); });
+    reader.objects(name, [&](json_reader& it) { parts.push_back(read_reserved_part(it)); });
     return parts;
 }
 
-Json::Value to_json(usage_item const& item)
-{
-    Json::Value value;
-    value["request"] = to_text(item.request);
-    value["started_ms"] = Json::Int64(item.started_ms);
-    value["parts"] = to_json(item.parts);
-    return value;
-}
-
 Json::Value to_json(std::vector<usage_item> const& items)
 {
     Json::Value value(Json::arrayValue);
     for (auto const& item : items)
-        value.append(to_json(item));
+    {
+        Json::Value entry;
+        entry["request"] = to_text(item.request);
+        entry["started_ms"] = Json::Int64(item.started_ms);
+        entry["parts"] = to_json(item.parts);
+        value.append(std::move(entry));
+    }
     return value;
 }
 
--- a/libraries/gate/src/work_gate.cpp
+++ b/libraries/gate/src/work_gate.cpp
@@ -130,7 +130,8 @@
         monitor_.is_blocked(work.fingerprint))
         return create_refusal(
             result_code::request_crashes_upstreams, "upstreams crashed while this request ran");
-    if (monitor_.is_suspect(work.fingerprint) && monitor_.is_suspect_running())
+    bool const is_suspect = work.is_suspect || monitor_.is_suspect(work.fingerprint);
+    if (is_suspect && monitor_.is_suspect_running())
         return create_refusal(result_code::overloaded, "another crash suspect runs here");
     if (monitor_.is_down())
         return create_refusal(result_code::no_upstream, "the upstream does not answer");
@@ -171,7 +172,7 @@
     record.readers.push_back({reader, 0, std::make_shared<work_reader const>(std::move(deliver))});
     calls_.emplace(call, request);
     readers_.emplace(reader, request);
-    monitor_.call_started(call, {request, work.fingerprint});
+    monitor_.call_started(call, {request, work.fingerprint, work.is_suspect});
     records_.insert_or_assign(request, std::move(record));
     ++counts_.started;
     note("work_started", request, "attempt " + std::to_string(work.attempt));
--- a/services/agent/agent.cpp
+++ b/services/agent/agent.cpp
@@ -49,9 +49,13 @@
     , client_(*loop_)
     , rpc_client_(*loop_, client_, journal_)
     , fence_(settings_.does_upstream_check_fencing)
-    , monitor_({system_clock_source::create(), [] { return create_random_hex(crash_id_size); }})
+    , monitor_(
+          {.now = system_clock_source::create(),
+           .create_crash_id = [] { return create_random_hex(crash_id_size); },
+           .crashed = [this](crash_notice const& it) { note_crash(it); }})
     , upstream_(create_upstream_client(settings_, client_))
     , gate_(self_, create_limits(), create_gate_hooks(), monitor_)
+    , placements_(system_clock_source::create())
     , orders_(settings_, client_, fence_)
     , probe_(settings_, client_, monitor_)
     , routers_(
@@ -85,7 +89,7 @@
     { return configuration_.knows_service(work.request.account.service); };
     hooks.is_blocked = [this](std::string const& it) { return configuration_.is_blocked(it); };
     hooks.offer_usage = [this](std::vector<usage_item> const& items)
-    { routers_.report_usage(items); };
+    { routers_.report_usage(self_, items); };
     if (settings_.kind == upstream_kind::engine)
         hooks.create_cut_data = [](dispatch const&) { return create_length_chunk(); };
     hooks.record_event = [this](event entry)
@@ -110,6 +114,20 @@
     upstream_->start(call, work, std::move(events));
 }
 
+void agent::note_crash(crash_notice const& notice)
+{
+    spdlog::warn(
+        "[gate] upstream {} crashed, {} requests ran", settings_.upstream, notice.requests.size());
+    event entry;
+    entry.part = "gate";
+    entry.name = "upstream_crashed";
+    entry.upstream = settings_.upstream;
+    entry.detail = std::to_string(notice.requests.size()) + " requests ran";
+    journal_.record(std::move(entry));
+    for (auto const& request : notice.requests)
+        placements_.add_crash(request.fingerprint, notice.crash);
+}
+
 agent_heartbeat agent::create_heartbeat() const
 {
     agent_heartbeat heartbeat;
@@ -120,6 +138,7 @@
     heartbeat.config_offset = configuration_.offset();
     heartbeat.running = gate_.running();
     heartbeat.free_slots = gate_.free_slots();
+    heartbeat.is_suspect_running = monitor_.is_suspect_running();
     return heartbeat;
 }
 
@@ -128,7 +147,8 @@
     auto const is_newer = configuration_.apply(result);
     if (!is_newer.ok())
     {
-        spdlog::error("[config] invalid configuration: {}", is_newer.status().message());
+        spdlog::error(
+            "[config] invalid configuration: {}", std::string(is_newer.status().message()));
         return;
     }
     if (!*is_newer)
@@ -176,10 +196,11 @@
         *rpc_server_,
         gate_,
         orders_,
+        placements_,
         rpc_methods::hooks{
             .config_offset = [this] { return configuration_.offset(); },
             .drain = [this] { begin_stop(); }});
-    work_ = std::make_unique<work_endpoint>(*server_, gate_);
+    work_ = std::make_unique<work_endpoint>(*server_, gate_, journal_);
     metrics_.serve(*server_);
     status_pages::serve(
         *server_,
@@ -192,6 +213,7 @@
 {
     loop_->every(tick_interval, [this] { gate_.tick(); });
     loop_->every(tick_interval, [this] { end_stop_if_drained(); });
+    loop_->every(settings_.heartbeat_interval, [this] { placements_.tick(); });
     loop_->every(settings_.probe_interval, [this] { probe_.tick(); });
     loop_->every(settings_.heartbeat_interval, [this] { routers_.send_heartbeats(); });
     loop_->every(settings_.heartbeat_interval, [this] { gauges_.update(); });
@@ -222,7 +244,7 @@
     is_closing_ = true;
     spdlog::info("[gate] drained");
     // Readers may still be receiving the end of their answers.
-    server_->stop([this] { loop_->stop(); });
+    routers_.report_stop(self_, [this] { server_->stop([this] { loop_->stop(); }); });
 }
 
 void agent::end_stop()
--- a/services/agent/agent.hpp
+++ b/services/agent/agent.hpp
@@ -9,6 +9,7 @@
 #include <almondcart/http/json_rpc_client.hpp>
 #include <almondcart/http/json_rpc_server.hpp>
 #include <almondcart/http/metrics.hpp>
+#include <almondcart/routing/run_placements.hpp>
 
 #include <memory>
 
@@ -40,6 +41,7 @@
     work_gate::limits create_limits() const;
     work_gate::hooks create_gate_hooks();
     void start_call(std::uint64_t call, dispatch const& work);
+    void note_crash(crash_notice const& notice);
     agent_heartbeat create_heartbeat() const;
     void take_configuration(Json::Value const& result);
     bool is_ready() const;
@@ -61,6 +63,7 @@
     upstream_crash_monitor monitor_;
     std::unique_ptr<upstream_client> upstream_;
     work_gate gate_;
+    run_placements placements_;
     order_forwarder orders_;
     upstream_probe probe_;
     router_links routers_;
--- a/services/agent/call_table.cpp
+++ b/services/agent/call_table.cpp
@@ -49,10 +49,11 @@
 
 void report_error(absl::Status const& status, upstream_events const& events)
 {
+    std::string const detail(status.message());
     if (is_request_unsent(status))
-        events.not_started(status.message());
+        events.not_started(detail);
     else
-        events.failed(status.message(), call_failure::connection_lost);
+        events.failed(detail, call_failure::connection_lost);
 }
 
 } // namespace almondcart
--- a/services/agent/main.cpp
+++ b/services/agent/main.cpp
@@ -12,7 +12,7 @@
 
 constexpr int settings_error = 2;
 
-int fail(std::string_view message)
+int fail(std::string const& message)
 {
     std::cerr << "almondcart-agent: " << message << '\n';
     return settings_error;
@@ -23,12 +23,12 @@
     using namespace almondcart;
     auto settings = agent_settings::load(file);
     if (!settings.ok())
-        return fail(settings.status().message());
+        return fail(std::string(settings.status().message()));
     if (auto const status = set_up_logging(settings->name, settings->log_level); !status.ok())
         return fail(file + ": " + std::string(status.message()));
     auto process = agent::create(*std::move(settings));
     if (!process.ok())
-        return fail(process.status().message());
+        return fail(std::string(process.status().message()));
     (*process)->run();
     return 0;
 }
@@ -46,7 +46,7 @@
             return fail("missing option --settings FILE");
         return run(result["settings"].as<std::string>());
     }
-    catch (cxxopts::OptionException const& error)
+    catch (cxxopts::exceptions::exception const& error)
     {
         return fail(error.what());
     }
--- a/services/agent/router_links.cpp
+++ b/services/agent/router_links.cpp
@@ -16,6 +16,7 @@
 constexpr duration heartbeat_timeout{900};
 constexpr duration configuration_timeout{5'000};
 constexpr duration usage_timeout{5'000};
+constexpr duration stop_timeout{2'000};
 
 } // namespace
 
@@ -120,12 +121,13 @@
     return nullptr;
 }
 
-void router_links::report_usage(std::vector<usage_item> const& items)
+void router_links::report_usage(process_id const& self, std::vector<usage_item> const& items)
 {
     auto const* link = next_answering();
     if (link == nullptr)
         return;
     Json::Value params;
+    params["agent"] = to_text(self);
     params["items"] = almondcart::to_json(items);
     // An answer only says that the router will append the items; the gate keeps them until
     // `acknowledge`.
@@ -138,10 +140,30 @@
         {
             if (!result.ok())
                 spdlog::warn(
-                    "[gate] router {} did not take usage: {}", address, result.status().message());
+                    "[gate] router {} did not take usage: {}",
+                    address,
+                    std::string(result.status().message()));
         });
 }
 
+void router_links::report_stop(process_id const& self, std::function<void()> done)
+{
+    auto const* link = next_answering();
+    if (link == nullptr)
+    {
+        done();
+        return;
+    }
+    Json::Value params;
+    params["agent"] = to_text(self);
+    rpc_.call(
+        link->address,
+        "agent_stopped",
+        params,
+        stop_timeout,
+        [done = std::move(done)](absl::StatusOr<Json::Value> const&) { done(); });
+}
+
 bool router_links::is_registered() const
 {
     return std::ranges::any_of(links_, [](link const& it) { return it.is_registered; });
--- a/services/agent/router_links.hpp
+++ b/services/agent/router_links.hpp
@@ -39,7 +39,11 @@
     void announce();
 
     /// Hands the items to the next router that answers heartbeats.
-    void report_usage(std::vector<usage_item> const& items);
+    void report_usage(process_id const& self, std::vector<usage_item> const& items);
+
+    /// Tells a router that this incarnation has ended with all its usage acknowledged. Calls `done`
+    /// after the answer or its failure.
+    void report_stop(process_id const& self, std::function<void()> done);
 
     /// Whether some router reports that all budget shards have folded the agent's start.
     bool is_registered() const;
--- a/services/agent/rpc_methods.cpp
+++ b/services/agent/rpc_methods.cpp
@@ -3,6 +3,7 @@
 #include <almondcart/core/json_reader.hpp>
 #include <almondcart/gate/usage_json.hpp>
 
+#include <set>
 #include <string>
 #include <utility>
 
@@ -12,6 +13,26 @@
 
 constexpr std::int64_t attempt_limit = 1'000'000;
 
+std::string_view name_of(placement_state state)
+{
+    switch (state)
+    {
+    case placement_state::placed:
+        return "placed";
+    case placement_state::suspect:
+        return "suspect";
+    case placement_state::refused:
+        break;
+    }
+    return "refused";
+}
+
+std::set<std::string> read_set(json_reader& reader, std::string_view name)
+{
+    auto const values = reader.strings_or(name, {});
+    return {values.begin(), values.end()};
+}
+
 request_id read_request(json_reader& reader)
 {
     auto const request = try_request_id(reader.string("request"));
@@ -26,8 +47,10 @@
     json_rpc_server& server,
     work_gate& gate,
     order_forwarder& orders,
+    run_placements& placements,
     hooks hooks)
     : gate_(gate)
+    , placements_(placements)
     , hooks_(std::move(hooks))
 {
     server.bind_immediate("acknowledge", [this](auto const& it) { return acknowledge(it); });
@@ -35,6 +58,9 @@
     server.bind_immediate("fence_request", [this](auto const& it) { return fence_request(it); });
     server.bind_immediate("find_request", [this](auto const& it) { return find_request(it); });
     server.bind_immediate("cancel", [this](auto const& it) { return cancel(it); });
+    server.bind_immediate("place", [this](auto const& it) { return place(it); });
+    server.bind_immediate(
+        "clear_fingerprint", [this](auto const& it) { return clear_fingerprint(it); });
     server.bind_immediate(
         "drain",
         [this](auto const&) -> absl::StatusOr<Json::Value>
@@ -101,7 +127,7 @@
     if (auto const status = reader.finish(); !status.ok())
         return status;
     auto result = create_result();
-    result["state"] = std::string(name_of(gate_.fence_request(request, attempt)));
+    result["state"] = std::string(almondcart::name_of(gate_.fence_request(request, attempt)));
     return result;
 }
 
@@ -112,7 +138,7 @@
     if (auto const status = reader.finish(); !status.ok())
         return status;
     auto result = create_result();
-    result["state"] = std::string(name_of(gate_.find_request(request)));
+    result["state"] = std::string(almondcart::name_of(gate_.find_request(request)));
     result["agent"] = to_text(gate_.self());
     return result;
 }
@@ -127,4 +153,35 @@
     return create_result();
 }
 
+absl::StatusOr<Json::Value> rpc_methods::place(Json::Value const& params)
+{
+    json_reader reader(params, "place", result_code::malformed_request);
+    placement_request request;
+    request.fingerprint = reader.string("fingerprint");
+    request.proposed = reader.string("proposed");
+    request.crashes = read_set(reader, "crashes");
+    request.unusable = read_set(reader, "unusable");
+    if (auto const status = reader.finish(); !status.ok())
+        return status;
+    auto const placement = placements_.place(request);
+    auto result = create_result();
+    result["state"] = std::string(name_of(placement.state));
+    result["upstream"] = placement.upstream;
+    result["crashes"] = Json::arrayValue;
+    for (auto const& crash : placement.crashes)
+        result["crashes"].append(crash);
+    return result;
+}
+
+absl::StatusOr<Json::Value> rpc_methods::clear_fingerprint(Json::Value const& params)
+{
+    json_reader reader(params, "clear_fingerprint", result_code::malformed_request);
+    auto const fingerprint = reader.string("fingerprint");
+    read_set(reader, "crashes");
+    if (auto const status = reader.finish(); !status.ok())
+        return status;
+    placements_.clear(fingerprint);
+    return create_result();
+}
+
 } // namespace almondcart
--- a/services/agent/rpc_methods.hpp
+++ b/services/agent/rpc_methods.hpp
@@ -2,6 +2,7 @@
 
 #include <almondcart/gate/work_gate.hpp>
 #include <almondcart/http/json_rpc_server.hpp>
+#include <almondcart/routing/run_placements.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -21,7 +22,12 @@
     };
 
     /// The references must outlive the server.
-    rpc_methods(json_rpc_server& server, work_gate& gate, order_forwarder& orders, hooks hooks);
+    rpc_methods(
+        json_rpc_server& server,
+        work_gate& gate,
+        order_forwarder& orders,
+        run_placements& placements,
+        hooks hooks);
 
 private:
     absl::StatusOr<Json::Value> acknowledge(Json::Value const& params);
@@ -29,9 +35,12 @@
     absl::StatusOr<Json::Value> fence_request(Json::Value const& params);
     absl::StatusOr<Json::Value> find_request(Json::Value const& params);
     absl::StatusOr<Json::Value> cancel(Json::Value const& params);
+    absl::StatusOr<Json::Value> place(Json::Value const& params);
+    absl::StatusOr<Json::Value> clear_fingerprint(Json::Value const& params);
     Json::Value create_result() const;
 
     work_gate& gate_;
+    run_placements& placements_;
     hooks hooks_;
 };
 
--- a/services/agent/work_endpoint.cpp
+++ b/services/agent/work_endpoint.cpp
@@ -2,13 +2,14 @@
 
 #include <almondcart/core/json.hpp>
 #include <almondcart/core/status.hpp>
+#include <almondcart/http/logical_time.hpp>
 
 namespace almondcart {
 
 namespace {
 
 /// A router that reads more slowly is disconnected; it may attach again from its last frame.
-constexpr std::size_t pending_limit_bytes = 4 * 1024 * 1024;
+constexpr std::size_t pending_limit_bytes = 4'194'304;
 
 absl::StatusOr<dispatch> parse_body(std::string const& body)
 {
@@ -31,8 +32,9 @@
 
 } // namespace
 
-work_endpoint::work_endpoint(http_server& server, work_gate& gate)
+work_endpoint::work_endpoint(http_server& server, work_gate& gate, event_journal& journal)
     : gate_(gate)
+    , journal_(journal)
 {
     server.route(
         "POST",
@@ -42,7 +44,10 @@
 
 void work_endpoint::serve(std::shared_ptr<http_exchange> const& exchange)
 {
-    exchange->start(200, {{"Content-Type", "application/x-ndjson"}});
+    observe_logical_time(exchange->headers(), journal_);
+    http_headers headers{{"Content-Type", "application/x-ndjson"}};
+    add_logical_time(headers, journal_);
+    exchange->start(200, headers);
     auto const work = parse_body(exchange->body());
     if (!work.ok())
     {
--- a/services/agent/work_endpoint.hpp
+++ b/services/agent/work_endpoint.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <almondcart/core/event_journal.hpp>
 #include <almondcart/gate/work_gate.hpp>
 #include <almondcart/http/http_server.hpp>
 
@@ -11,13 +12,14 @@
 class work_endpoint
 {
 public:
-    /// Binds the route. `gate` must outlive the server.
-    work_endpoint(http_server& server, work_gate& gate);
+    /// Binds the route. `gate` and `journal` must outlive the server.
+    work_endpoint(http_server& server, work_gate& gate, event_journal& journal);
 
 private:
     void serve(std::shared_ptr<http_exchange> const& exchange);
 
     work_gate& gate_;
+    event_journal& journal_;
 };
 
 } // namespace almondcart
--- a/tests/gate.cpp
+++ b/tests/gate.cpp
@@ -56,7 +56,10 @@
     using lines = std::vector<work_line>;
 
     explicit gate_bench(work_gate::limits limits = {})
-        : monitor({clock.function(), [this] { return "crash-" + std::to_string(++crashes); }})
+        : monitor(
+              {.now = clock.function(),
+               .create_crash_id = [this] { return "crash-" + std::to_string(++crashes); },
+               .crashed = {}})
         , gate(
               {"m1", "a"},
               limits,
@@ -142,6 +145,7 @@
     value.attempt = 2;
     value.intent_offset = 44;
     value.from_frame = 3;
+    value.is_suspect = true;
     auto const parsed = parse_dispatch(to_json(value));
     cr_assert(parsed.ok());
     cr_assert(*parsed == value);
@@ -204,8 +208,9 @@
     beat.config_offset = 12;
     beat.running = 2;
     beat.free_slots = 6;
+    beat.is_suspect_running = true;
     beat.cache_prefixes = {"00ff"};
-    beat.crashes = {{"c1", {{{{"sandshare", "dune-masters"}, "key-0001"}, "f1"}}}};
+    beat.crashes = {{"c1", {{{{"sandshare", "dune-masters"}, "key-0001"}, "f1", true}}}};
     cr_assert(parse_agent_heartbeat(to_json(beat)).value() == beat);
     agent_heartbeat_result const result{{"router-1", "b"}, 13, true};
     cr_assert(parse_agent_heartbeat_result(to_json(result)).value() == result);
@@ -547,6 +552,28 @@
     cr_assert_eq(bench.gate.running(), 1);
 }
 
+// Guards against a request that crashed another upstream taking innocent ones with it here: the
+// router's knowledge counts as much as the agent's own.
+Test(upstream_crash_monitor, identifies_a_suspect_of_another_upstream)
+{
+    gate_bench bench;
+    bench.monitor.set_routers({"router-1"});
+    auto suspect = create_dispatch("key-0001");
+    suspect.is_suspect = true;
+    bench.serve(suspect);
+    bench.serve(create_dispatch("key-0002"));
+    auto other = create_dispatch("key-0003");
+    other.is_suspect = true;
+    cr_assert_eq(bench.refused(bench.serve(other)), result_code::overloaded);
+    bench.gate.fail(1, "connection closed");
+    bench.gate.fail(2, "connection closed");
+    cr_assert(bench.monitor.is_blocked("f-key-0001"));
+    cr_assert(!bench.monitor.is_suspect("f-key-0002"));
+    auto const requests = bench.monitor.unseen_by("router-1").at(0).requests;
+    cr_assert(requests[0].ran_as_suspect);
+    cr_assert(!requests[1].ran_as_suspect);
+}
+
 // Guards against a crash notice being dropped before every router has seen it.
 Test(upstream_crash_monitor, keeps_notices_until_all_routers_saw_them)
 {
