--- a/libraries/routing/src/upstream_selector.cpp
+++ b/libraries/routing/src/upstream_selector.cpp
@@ -21,6 +21,11 @@
         upstreams_[name].traits = traits;
 }
 
+void upstream_selector::set_routers(int routers)
+{
+    routers_ = std::max(1, routers);
+}
+
 std::uint64_t upstream_selector::affinity_key(std::string_view prompt) const
 {
     return hash64(prompt.substr(0, settings_.affinity_bytes));
@@ -59,6 +64,9 @@
 bool upstream_selector::has_room(candidate const& it, double average_load) const
 {
     double const slots = std::max(1, it.entry->traits.slots);
+    double const own = static_cast<double>(it.entry->dispatched - it.entry->finished);
+    if (own + 1 > std::ceil(slots * settings_.own_share_bound / routers_))
+        return false;
     double const bound =
         std::max(slots * settings_.free_share, average_load * settings_.load_bound);
     // An upstream with all slots taken queues the request, so the bound never exceeds the slots
@@ -102,11 +110,14 @@
         chosen = &*std::min_element(
             candidates.begin(),
             candidates.end(),
-            [](auto const& left, auto const& right)
+            [this](auto const& left, auto const& right)
             {
-                auto const relative = [](candidate const& it) {
-                    return static_cast<double>(load_of(*it.entry)) /
-                           std::max(1, it.entry->traits.slots);
+                auto const relative = [this](candidate const& it)
+                {
+                    auto const own = it.entry->dispatched - it.entry->finished;
+                    auto const load =
+                        std::max<double>(load_of(*it.entry), static_cast<double>(own) * routers_);
+                    return load / std::max(1, it.entry->traits.slots);
                 };
                 return relative(left) < relative(right);
             });
@@ -197,6 +208,12 @@
     return it == upstreams_.end() ? 0 : load_of(it->second);
 }
 
+std::uint64_t upstream_selector::dispatched_count(std::string const& upstream) const
+{
+    auto const it = upstreams_.find(upstream);
+    return it == upstreams_.end() ? 0 : it->second.dispatched;
+}
+
 int upstream_selector::in_flight(std::string const& upstream) const
 {
     auto const it = upstreams_.find(upstream);
@@ -222,7 +239,7 @@
     return slots;
 }
 
-int upstream_selector::concurrency_limit(int routers) const
+int upstream_selector::concurrency_limit() const
 {
     int free = 0;
     int own = 0;
@@ -234,8 +251,7 @@
         own += in_flight(name);
     }
     // Every router sees the same free slots, so each takes its part of them.
-    int const n = std::max(1, routers);
-    return std::max(usable_slots() / n, own + free / n);
+    return std::max(usable_slots() / routers_, own + free / routers_);
 }
 
 } // namespace almondcart
