Router: Pass on which requests ran as crash suspects

The agents now say so in their crash notices.

Before: every request of a second crash became a suspect again. After: the one that ran as a suspect is identified.

--- a/services/router/control_service.cpp
+++ b/services/router/control_service.cpp
@@ -104,7 +104,7 @@
         crash.upstream = beat.upstream;
         crash.agent = to_text(beat.agent);
         for (auto const& it : notice.requests)
-            crash.requests.push_back({to_text(it.request), it.fingerprint, false});
+            crash.requests.push_back({to_text(it.request), it.fingerprint, it.ran_as_suspect});
         context_.suspects.apply(crash);
     }
 }
