--- a/libraries/http/include/almondcart/http/http_server.hpp
+++ b/libraries/http/include/almondcart/http/http_server.hpp
@@ -17,8 +17,9 @@
 /// Settings of an `http_server`.
 struct http_server_settings
 {
-    std::string address;                      ///< "ip:port"; port 0 chooses a free port
-    std::size_t body_limit = 8 * 1024 * 1024; ///< bytes; larger requests are answered 413
+    std::string address; ///< "ip:port"; port 0 chooses a free port
+    std::size_t body_limit =
+        std::size_t{8} * 1024 * 1024; ///< bytes; larger requests are answered 413
 };
 
 /// HTTP/1.1 server on an event loop.
