Routing: Lower the retry floor to 0.2 per second

Cause: the floor counts per router, and with four routers at 20 requests/s it was larger than the share itself.

--- a/libraries/routing/include/almondcart/routing/retry_budget.hpp
+++ b/libraries/routing/include/almondcart/routing/retry_budget.hpp
@@ -8,7 +8,7 @@
 {
     double share = 0.1; ///< retries per first attempt
     /// Retries per second that are allowed whatever the traffic, so that a quiet router can retry.
-    double floor_per_s = 1.0;
+    double floor_per_s = 0.2;
     double burst = 20; ///< unused retries that are kept
 };
 
