--- a/libraries/routing/include/almondcart/routing/crash_suspects.hpp
+++ b/libraries/routing/include/almondcart/routing/crash_suspects.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <almondcart/core/clock.hpp>
+#include <almondcart/routing/crash_set.hpp>
 
 #include <functional>
 #include <map>
@@ -69,8 +70,7 @@
         identified;
 
     /// A suspect completed here. Peers and the home agent are told (`clear`).
-    std::function<void(std::string const& fingerprint, std::set<std::string> const& crashes)>
-        cleared;
+    std::function<void(std::string const& fingerprint, crash_set const& crashes)> cleared;
 };
 
 /// Requests that are suspected to crash the upstreams that run them. Each router applies the crash
@@ -95,16 +95,16 @@
 
     /// A suspect completed, here or at a peer. Its crashes known so far no longer count, also if
     /// their reports arrive again.
-    void clear(std::string const& fingerprint, std::set<std::string> const& crashes);
+    void clear(std::string const& fingerprint, crash_set const& crashes);
 
     /// Learns of crashes whose reports have not arrived yet, from a home agent's placement.
-    void add(std::string const& fingerprint, std::set<std::string> const& crashes);
+    void add(std::string const& fingerprint, crash_set const& crashes);
 
     suspicion check(std::string const& fingerprint) const;
 
     /// Crashes in which the fingerprint is suspected, for `run_placements` and for `clear` at
     /// peers.
-    std::set<std::string> crashes_of(std::string const& fingerprint) const;
+    crash_set crashes_of(std::string const& fingerprint) const;
 
     /// Upstreams that crashed with the fingerprint, to be avoided by its further run.
     std::vector<std::string> crashed_upstreams(std::string const& fingerprint) const;
@@ -137,7 +137,7 @@
     };
     struct suspect_entry
     {
-        std::set<std::string> crashes;
+        crash_set crashes;
         std::string running_on; ///< upstream of its further run by this router, or empty
         bool is_lost = false;
     };
--- a/libraries/routing/include/almondcart/routing/membership.hpp
+++ b/libraries/routing/include/almondcart/routing/membership.hpp
@@ -100,6 +100,9 @@
 
     upstream_state state_of(std::string const& upstream) const;
     bool is_usable(std::string const& upstream) const;
+    /// Whether the agent's heartbeats are fresh, even if it or its VM is leaving.
+    bool is_reachable(std::string const& upstream) const;
+
     upstream_member const* find_upstream(std::string const& upstream) const;
     std::vector<std::string> usable_upstreams() const;
 
--- a/libraries/routing/include/almondcart/routing/run_placements.hpp
+++ b/libraries/routing/include/almondcart/routing/run_placements.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <almondcart/core/clock.hpp>
+#include <almondcart/routing/crash_set.hpp>
 
 #include <map>
 #include <optional>
@@ -15,7 +16,7 @@
 {
     std::string fingerprint;
     std::string proposed;           ///< upstream that the router would choose
-    std::set<std::string> crashes;  ///< crash ids in which the router knows the fingerprint
+    crash_set crashes;              ///< known to the router
     std::set<std::string> unusable; ///< upstreams that the router sees as leaving or lost
 };
 
@@ -30,7 +31,7 @@
 {
     placement_state state = placement_state::refused;
     std::string upstream;
-    std::set<std::string> crashes; ///< all crash ids known for the fingerprint
+    crash_set crashes; ///< all that are known for the fingerprint
 };
 
 struct run_placement_settings
@@ -40,10 +41,10 @@
     std::size_t capacity = 20'000;        ///< entries; the longest unused ones are dropped
 };
 
-/// Table in the home agent of a prefix. It binds each fingerprint to at most two upstreams: one for
-/// the first run, and one for its single further run after a crash. Concurrent copies of a request,
-/// sent through any number of routers, therefore meet on the same upstream, and a request that
-/// crashes its upstreams brings down at most two.
+/// Table in the home agent of a prefix. It binds each fingerprint to at most two upstreams, those
+/// that crashed with it included: one for the first run, and one for its single further run.
+/// Concurrent copies of a request, sent through any number of routers, therefore meet on the same
+/// upstream, and a request that crashes its upstreams brings down at most two.
 class run_placements
 {
 public:
@@ -52,7 +53,7 @@
     placement place(placement_request const& request);
 
     /// The fingerprint was running when the agent's own upstream crashed.
-    void add_crash(std::string const& fingerprint, std::string const& crash);
+    void add_crashes(std::string const& fingerprint, crash_set const& crashes);
 
     /// The fingerprint ran to its end as a suspect; its crashes no longer count.
     void clear(std::string const& fingerprint);
@@ -68,16 +69,17 @@
 private:
     struct entry
     {
-        std::string first;
-        std::string second;
-        std::set<std::string> crashes;
+        std::vector<std::string> bound; ///< at most two, crashed ones included
+        crash_set crashes;
         std::set<std::string> cleared; ///< crash ids that `clear` made void
         bool is_blocked = false;
         instant last_use;
     };
 
     entry& find_or_create(std::string const& fingerprint);
-    static placement answer(entry& it, placement_request const& request);
+    static void merge(entry& it, crash_set const& crashes);
+    static placement place_first(entry& it, placement_request const& request);
+    static placement place_suspect(entry& it, placement_request const& request);
     void make_room();
 
     clock_function clock_;
--- a/libraries/routing/include/almondcart/routing/upstream_selector.hpp
+++ b/libraries/routing/include/almondcart/routing/upstream_selector.hpp
@@ -103,10 +103,13 @@
     /// Nothing if no usable upstream serves the model and role and is not to be avoided.
     std::optional<selection> select(selection_request const& request) const;
 
-    /// First upstream of the document in the prefix's order among the usable ones, regardless of
-    /// load and earlier attempts. All routers that agree on the usable upstreams agree on it; its
-    /// agent keeps the prefix's run placements.
-    std::optional<std::string> find_home(std::string_view prompt, std::string const& model) const;
+    /// First upstream in the prefix's order whose agent is reachable (`membership::is_reachable`),
+    /// regardless of load and of whether the upstream itself is up. Its agent keeps the prefix's
+    /// run placements, so it must not move when the upstream crashes.
+    std::optional<std::string> find_home(
+        std::string_view prompt,
+        std::string const& model,
+        std::function<bool(std::string const&)> const& is_reachable) const;
 
     /// Counts a request sent to an upstream; `finished` counts its end, whatever the result. The
     /// return value of `dispatched` is passed to `finished`, so that an end that belongs to an
@@ -157,7 +160,9 @@
 
     static int load_of(upstream_entry const& entry);
     static bool serves(upstream_entry const& entry, selection_request const& request);
-    std::vector<candidate> ordered_candidates(selection_request const& request) const;
+    std::vector<candidate> ordered_candidates(
+        selection_request const& request,
+        std::function<bool(std::string const&)> const& is_eligible) const;
     bool has_room(candidate const& it, double average_load) const;
 
     std::function<bool(std::string const&)> is_usable_;
--- a/libraries/routing/src/crash_suspects.cpp
+++ b/libraries/routing/src/crash_suspects.cpp
@@ -31,7 +31,7 @@
         if (entry.cleared.contains(it.fingerprint) || (has_culprit && !it.ran_as_suspect))
             continue;
         auto& suspect = suspects_[it.fingerprint];
-        suspect.crashes.insert(crash.crash);
+        suspect.crashes[crash.crash] = crash.upstream;
         if (it.ran_as_suspect || suspect.crashes.size() >= 2)
             identified.insert(it.fingerprint);
     }
@@ -58,12 +58,12 @@
     return entry;
 }
 
-void crash_suspects::add(std::string const& fingerprint, std::set<std::string> const& crashes)
+void crash_suspects::add(std::string const& fingerprint, crash_set const& crashes)
 {
-    for (auto const& id : crashes)
+    for (auto const& [id, upstream] : crashes)
     {
         if (!find_or_create(id).cleared.contains(fingerprint))
-            suspects_[fingerprint].crashes.insert(id);
+            suspects_[fingerprint].crashes[id] = upstream;
     }
     // The records for `config` need the reports, which follow with the agents' heartbeats.
     if (crashes_of(fingerprint).size() >= 2)
@@ -76,7 +76,7 @@
     if (!announced_.insert(fingerprint).second)
         return;
     std::vector<crash_record> records;
-    for (auto const& id : suspects_[fingerprint].crashes)
+    for (auto const& [id, upstream] : suspects_[fingerprint].crashes)
     {
         auto const& crash = crashes_[id].crash;
         auto const it = std::find_if(
@@ -84,7 +84,7 @@
             crash.requests.end(),
             [&](auto const& request) { return request.fingerprint == fingerprint; });
         if (it != crash.requests.end())
-            records.push_back({id, fingerprint, crash.upstream, crash.agent, it->request});
+            records.push_back({id, fingerprint, upstream, crash.agent, it->request});
     }
     if (hooks_.identified)
         hooks_.identified(fingerprint, records);
@@ -95,14 +95,14 @@
     blocked_.insert(fingerprint);
 }
 
-void crash_suspects::clear(std::string const& fingerprint, std::set<std::string> const& crashes)
+void crash_suspects::clear(std::string const& fingerprint, crash_set const& crashes)
 {
-    for (auto const& id : crashes)
+    for (auto const& [id, upstream] : crashes)
         find_or_create(id).cleared.insert(fingerprint);
     auto const suspect = suspects_.find(fingerprint);
     if (suspect == suspects_.end())
         return;
-    for (auto const& id : crashes)
+    for (auto const& [id, upstream] : crashes)
         suspect->second.crashes.erase(id);
     if (suspect->second.crashes.empty())
         suspects_.erase(suspect);
@@ -118,21 +118,17 @@
     return it->second.is_lost ? suspicion::withheld : suspicion::suspect;
 }
 
-std::set<std::string> crash_suspects::crashes_of(std::string const& fingerprint) const
+crash_set crash_suspects::crashes_of(std::string const& fingerprint) const
 {
     auto const it = suspects_.find(fingerprint);
-    return it == suspects_.end() ? std::set<std::string>{} : it->second.crashes;
+    return it == suspects_.end() ? crash_set{} : it->second.crashes;
 }
 
 std::vector<std::string> crash_suspects::crashed_upstreams(std::string const& fingerprint) const
 {
     std::vector<std::string> upstreams;
-    for (auto const& id : crashes_of(fingerprint))
-    {
-        auto const it = crashes_.find(id);
-        if (it != crashes_.end() && it->second.is_reported)
-            upstreams.push_back(it->second.crash.upstream);
-    }
+    for (auto const& [id, upstream] : crashes_of(fingerprint))
+        upstreams.push_back(upstream);
     return upstreams;
 }
 
--- a/libraries/routing/src/membership.cpp
+++ b/libraries/routing/src/membership.cpp
@@ -152,6 +152,12 @@
     return state_of(upstream) == upstream_state::usable;
 }
 
+bool membership::is_reachable(std::string const& upstream) const
+{
+    auto const* it = find_upstream(upstream);
+    return it != nullptr && clock_() - it->last_heartbeat <= settings_.upstream_timeout;
+}
+
 upstream_member const* membership::find_upstream(std::string const& upstream) const
 {
     auto const it = upstreams_.find(upstream);
--- a/libraries/routing/src/run_placements.cpp
+++ b/libraries/routing/src/run_placements.cpp
@@ -13,22 +13,52 @@
 placement run_placements::place(placement_request const& request)
 {
     auto& it = find_or_create(request.fingerprint);
-    for (auto const& crash : request.crashes)
+    merge(it, request.crashes);
+    if (it.is_blocked || it.crashes.size() >= 2 || it.bound.size() > 2)
+        return {placement_state::refused, "", it.crashes};
+    return it.crashes.empty() ? place_first(it, request) : place_suspect(it, request);
+}
+
+placement run_placements::place_first(entry& it, placement_request const& request)
+{
+    auto usable = std::find_if(
+        it.bound.begin(),
+        it.bound.end(),
+        [&](auto const& upstream) { return !request.unusable.contains(upstream); });
+    if (usable == it.bound.end())
     {
-        if (!it.cleared.contains(crash))
-            it.crashes.insert(crash);
+        // Without a crash the binding only keeps copies together, so it follows the fleet.
+        if (it.bound.size() >= 2)
+            it.bound.clear();
+        usable = it.bound.insert(it.bound.end(), request.proposed);
     }
-    auto const is_unusable = [&](std::string const& upstream)
-    { return upstream.empty() || request.unusable.contains(upstream); };
-    if (it.first.empty() && it.crashes.empty())
-        it.first = request.proposed;
-    // Without a crash the binding only keeps copies together, so it may follow the fleet.
-    if (it.crashes.empty() && !it.second.empty() && is_unusable(it.first) && is_unusable(it.second))
+    return {placement_state::placed, *usable, {}};
+}
+
+placement run_placements::place_suspect(entry& it, placement_request const& request)
+{
+    auto const& crashed = it.crashes.begin()->second;
+    auto second = std::find_if(
+        it.bound.begin(),
+        it.bound.end(),
+        [&](auto const& upstream) { return upstream != crashed; });
+    if (second == it.bound.end() && request.proposed != crashed)
+        second = it.bound.insert(it.bound.end(), request.proposed);
+    if (second == it.bound.end() || request.unusable.contains(*second))
+        return {placement_state::refused, "", it.crashes};
+    return {placement_state::suspect, *second, it.crashes};
+}
+
+void run_placements::merge(entry& it, crash_set const& crashes)
+{
+    for (auto const& [id, upstream] : crashes)
     {
-        it.first = request.proposed;
-        it.second.clear();
+        if (it.cleared.contains(id))
+            continue;
+        it.crashes.emplace(id, upstream);
+        if (std::find(it.bound.begin(), it.bound.end(), upstream) == it.bound.end())
+            it.bound.push_back(upstream);
     }
-    return answer(it, request);
 }
 
 run_placements::entry& run_placements::find_or_create(std::string const& fingerprint)
@@ -43,29 +73,9 @@
     return found->second;
 }
 
-void run_placements::add_crash(std::string const& fingerprint, std::string const& crash)
+void run_placements::add_crashes(std::string const& fingerprint, crash_set const& crashes)
 {
-    auto& it = find_or_create(fingerprint);
-    if (!it.cleared.contains(crash))
-        it.crashes.insert(crash);
-}
-
-placement run_placements::answer(entry& it, placement_request const& request)
-{
-    if (it.is_blocked || it.crashes.size() >= 2)
-        return {placement_state::refused, "", it.crashes};
-    bool const needs_second = !it.crashes.empty() || request.unusable.contains(it.first);
-    if (!needs_second)
-        return {placement_state::placed, it.first, it.crashes};
-    if (it.second.empty() && request.proposed != it.first)
-        it.second = request.proposed;
-    if (it.second.empty())
-        return {placement_state::refused, "", it.crashes};
-    if (it.crashes.empty())
-        return {placement_state::placed, it.second, it.crashes};
-    if (request.unusable.contains(it.second))
-        return {placement_state::refused, it.second, it.crashes};
-    return {placement_state::suspect, it.second, it.crashes};
+    merge(find_or_create(fingerprint), crashes);
 }
 
 void run_placements::clear(std::string const& fingerprint)
@@ -73,10 +83,12 @@
     auto const it = entries_.find(fingerprint);
     if (it == entries_.end())
         return;
-    it->second.cleared.merge(it->second.crashes);
+    for (auto const& [id, upstream] : it->second.crashes)
+    {
+        it->second.cleared.insert(id);
+        std::erase(it->second.bound, upstream);
+    }
     it->second.crashes.clear();
-    it->second.first = it->second.second;
-    it->second.second.clear();
 }
 
 void run_placements::block(std::string const& fingerprint)
--- a/libraries/routing/src/upstream_selector.cpp
+++ b/libraries/routing/src/upstream_selector.cpp
@@ -42,8 +42,9 @@
     return has_model && has_role;
 }
 
-std::vector<upstream_selector::candidate>
-upstream_selector::ordered_candidates(selection_request const& request) const
+std::vector<upstream_selector::candidate> upstream_selector::ordered_candidates(
+    selection_request const& request,
+    std::function<bool(std::string const&)> const& is_eligible) const
 {
     std::vector<candidate> found;
     auto const key = affinity_key(request.prompt);
@@ -51,7 +52,7 @@
     {
         bool const is_avoided =
             std::find(request.avoid.begin(), request.avoid.end(), name) != request.avoid.end();
-        if (!is_avoided && serves(entry, request) && is_usable_(name))
+        if (!is_avoided && serves(entry, request) && is_eligible(name))
             found.push_back({&name, &entry, hash64(name, key)});
     }
     std::sort(
@@ -76,7 +77,7 @@
 
 std::optional<selection> upstream_selector::select(selection_request const& request) const
 {
-    auto const candidates = ordered_candidates(request);
+    auto const candidates = ordered_candidates(request, is_usable_);
     if (candidates.empty())
         return std::nullopt;
 
@@ -125,13 +126,15 @@
     return selection{*chosen->name, key, chosen == &candidates.front()};
 }
 
-std::optional<std::string>
-upstream_selector::find_home(std::string_view prompt, std::string const& model) const
+std::optional<std::string> upstream_selector::find_home(
+    std::string_view prompt,
+    std::string const& model,
+    std::function<bool(std::string const&)> const& is_reachable) const
 {
     selection_request request;
     request.prompt = prompt;
     request.model = model;
-    auto const candidates = ordered_candidates(request);
+    auto const candidates = ordered_candidates(request, is_reachable);
     if (candidates.empty())
         return std::nullopt;
     return *candidates.front().name;
--- /dev/null
+++ b/utilities/bench/crash_fleet.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <almondcart/routing/crash_fence.hpp>
+#include <almondcart/routing/crash_suspects.hpp>
+#include <almondcart/routing/run_placements.hpp>
+#include <almondcart/routing/upstream_selector.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "virtual_time.hpp"
+
+namespace almondcart {
+
+enum class crash_policy
+{
+    product,      ///< routers' crash suspects, and the agents' placements and fences
+    routers_only, ///< routers' crash suspects alone
+    no_rule,      ///< crashed requests are repeated as any other
+};
+
+char const* name_of(crash_policy policy);
+
+struct crash_figures
+{
+    std::set<std::string> brought_down; ///< upstreams that crashed at least once
+    int crashes = 0;
+    int innocent = 0;           ///< requests besides the one that crashes upstreams
+    int innocent_completed = 0; ///< within their deadline
+    int innocent_refused = 0;   ///< refused as suspects
+    int placement_questions = 0;
+    int dispatches = 0;
+};
+
+/// Routers, agents and upstreams with a request that crashes each upstream that runs it, in virtual
+/// time. Messages take a millisecond; an agent's crash report reaches the routers of the crashed
+/// requests at once and the others with its next heartbeat.
+class crash_fleet
+{
+public:
+    crash_fleet(crash_policy policy, std::uint64_t seed);
+
+    crash_figures run();
+
+private:
+    struct work
+    {
+        std::string id;
+        std::string fingerprint;
+        std::string prompt;
+        instant deadline;
+        std::size_t router = 0;
+        int attempts = 0;
+        bool is_culprit = false;
+        bool is_suspect_run = false;
+        std::uint64_t epoch = 0;
+    };
+    struct agent_node
+    {
+        std::string name;
+        crash_fence fence;
+        std::unique_ptr<run_placements> placements;
+        std::map<std::string, std::shared_ptr<work>> running;
+        bool is_up = true;
+        duration heartbeat_phase{0};
+    };
+    struct router_node
+    {
+        std::unique_ptr<upstream_selector> selector;
+        std::unique_ptr<crash_suspects> suspects;
+    };
+    using work_pointer = std::shared_ptr<work>;
+
+    void create_router(std::size_t number);
+    void send(bool is_culprit, std::size_t router);
+    void attempt(work_pointer const& it);
+    void attempt_later(work_pointer const& it);
+    void ask_home(work_pointer const& it, std::string const& proposed);
+    void run_as_suspect(work_pointer const& it, std::string const& upstream);
+    void dispatch(work_pointer const& it, std::string const& upstream, bool is_suspect);
+    void complete(agent_node& agent, work_pointer const& it);
+    void crash(agent_node& agent);
+    void handle_crash(work_pointer const& it, upstream_crash const& report);
+    void release(work_pointer const& it, std::string const& upstream, suspect_result result);
+    void announce_cleared(std::string const& fingerprint, crash_set const& crashes);
+    void refuse(work_pointer const& it);
+    agent_node& agent_of(std::string const& name);
+
+    crash_policy policy_;
+    std::mt19937_64 random_;
+    virtual_time time_;
+    std::vector<agent_node> agents_;
+    std::vector<router_node> routers_;
+    int sent_ = 0;
+    crash_figures figures_;
+};
+
+} // namespace almondcart
