Router, Agent: Name the crashed upstream with each crash

The placement of a request counts the upstreams that crashed with it, so crash ids travel with the upstream's name, and a completed suspect is cleared at every agent, because any of them may be the home of its prefix.

--- a/services/agent/agent.cpp
+++ b/services/agent/agent.cpp
@@ -125,7 +125,7 @@
     entry.detail = std::to_string(notice.requests.size()) + " requests ran";
     journal_.record(std::move(entry));
     for (auto const& request : notice.requests)
-        placements_.add_crash(request.fingerprint, notice.crash);
+        placements_.add_crashes(request.fingerprint, {{notice.crash, settings_.upstream}});
 }
 
 agent_heartbeat agent::create_heartbeat() const
--- a/services/agent/rpc_methods.cpp
+++ b/services/agent/rpc_methods.cpp
@@ -159,7 +159,7 @@
     placement_request request;
     request.fingerprint = reader.string("fingerprint");
     request.proposed = reader.string("proposed");
-    request.crashes = read_set(reader, "crashes");
+    request.crashes = parse_crash_set(reader.value_or_null("crashes"));
     request.unusable = read_set(reader, "unusable");
     if (auto const status = reader.finish(); !status.ok())
         return status;
@@ -167,9 +167,7 @@
     auto result = create_result();
     result["state"] = std::string(name_of(placement.state));
     result["upstream"] = placement.upstream;
-    result["crashes"] = Json::arrayValue;
-    for (auto const& crash : placement.crashes)
-        result["crashes"].append(crash);
+    result["crashes"] = crash_set_to_json(placement.crashes);
     return result;
 }
 
@@ -177,7 +175,7 @@
 {
     json_reader reader(params, "clear_fingerprint", result_code::malformed_request);
     auto const fingerprint = reader.string("fingerprint");
-    read_set(reader, "crashes");
+    static_cast<void>(reader.value_or_null("crashes"));
     if (auto const status = reader.finish(); !status.ok())
         return status;
     placements_.clear(fingerprint);
--- a/services/router/control_service.cpp
+++ b/services/router/control_service.cpp
@@ -213,10 +213,7 @@
 
 control_service::result control_service::clear_fingerprint(Json::Value const& params)
 {
-    std::set<std::string> crashes;
-    for (auto const& crash : params["crashes"])
-        crashes.insert(crash.asString());
-    context_.suspects.clear(params["fingerprint"].asString(), crashes);
+    context_.suspects.clear(params["fingerprint"].asString(), parse_crash_set(params["crashes"]));
     return Json::Value(Json::objectValue);
 }
 
--- a/services/router/idempotent_session.cpp
+++ b/services/router/idempotent_session.cpp
@@ -74,7 +74,10 @@
     }
     auto& selector = pool_->selector();
     auto const& prefix = request_.chat->prefix;
-    auto const home = selector.find_home(prefix, request_.chat->model);
+    auto const home = selector.find_home(
+        prefix,
+        request_.chat->model,
+        [this](std::string const& upstream) { return context_.members.is_reachable(upstream); });
     auto const proposed = selector.select({prefix, request_.chat->model, {}, avoid_});
     auto const* member = home ? context_.members.find_upstream(*home) : nullptr;
     if (member == nullptr || !proposed)
@@ -87,7 +90,7 @@
     Json::Value params(Json::objectValue);
     params["fingerprint"] = request_.fingerprint;
     params["proposed"] = proposed->upstream;
-    params["crashes"] = to_array(context_.suspects.crashes_of(request_.fingerprint));
+    params["crashes"] = crash_set_to_json(context_.suspects.crashes_of(request_.fingerprint));
     params["unusable"] = to_array({avoid_.begin(), avoid_.end()});
     context_.rpc.call(
         member->address,
@@ -108,9 +111,7 @@
     if (result.ok())
     {
         auto const& placement = *result;
-        std::set<std::string> crashes;
-        for (auto const& crash : placement["crashes"])
-            crashes.insert(crash.asString());
+        auto const crashes = parse_crash_set(placement["crashes"]);
         context_.suspects.add(request_.fingerprint, crashes);
         if (placement["state"].asString() == "refused" || is_blocked())
         {
--- a/services/router/router.cpp
+++ b/services/router/router.cpp
@@ -16,6 +16,7 @@
 constexpr duration heartbeat_interval{1'000};
 constexpr duration transfer_timeout{1'000};
 constexpr duration close_grant_timeout{2'000};
+constexpr duration notify_timeout{1'000};
 constexpr int http_ok = 200;
 constexpr int http_unavailable = 503;
 
@@ -222,15 +223,8 @@
     hooks.identified =
         [this](std::string const& fingerprint, std::vector<crash_record> const& records)
     { fingerprint_identified(fingerprint, records); };
-    hooks.cleared = [this](std::string const& fingerprint, std::set<std::string> const& crashes)
-    {
-        Json::Value params(Json::objectValue);
-        params["fingerprint"] = fingerprint;
-        params["crashes"] = Json::Value(Json::arrayValue);
-        for (auto const& crash : crashes)
-            params["crashes"].append(crash);
-        peers_.notify_all("clear_fingerprint", params);
-    };
+    hooks.cleared = [this](std::string const& fingerprint, crash_set const& crashes)
+    { fingerprint_cleared(fingerprint, crashes); };
     return hooks;
 }
 
@@ -387,6 +381,17 @@
     }
 }
 
+void router::fingerprint_cleared(std::string const& fingerprint, crash_set const& crashes)
+{
+    Json::Value params(Json::objectValue);
+    params["fingerprint"] = fingerprint;
+    params["crashes"] = crash_set_to_json(crashes);
+    peers_.notify_all("clear_fingerprint", params);
+    // Any agent may be the home of the prefix in the eyes of some router.
+    for (auto const& [upstream, beat] : agents_.by_upstream())
+        rpc_.call(beat.address, "clear_fingerprint", params, notify_timeout, [](auto const&) {});
+}
+
 void router::serve_pages(http_server& server)
 {
     auto const answer = [](http_exchange& exchange, Json::Value const& value)
--- a/services/router/router.hpp
+++ b/services/router/router.hpp
@@ -69,6 +69,7 @@
     void fingerprint_identified(
         std::string const& fingerprint,
         std::vector<crash_record> const& records);
+    void fingerprint_cleared(std::string const& fingerprint, crash_set const& crashes);
     void serve_pages(http_server& server);
     void update_metrics();
     void tick();
