--- a/libraries/budget/include/almondcart/budget/budget_account.hpp
+++ b/libraries/budget/include/almondcart/budget/budget_account.hpp
@@ -32,7 +32,9 @@
 class budget_account
 {
 public:
-    explicit budget_account(budget_id id) : id_(std::move(id)) {}
+    explicit budget_account(budget_id id)
+        : id_(std::move(id))
+    {}
 
     budget_id const& id() const { return id_; }
     token_count free() const { return free_; }
--- a/libraries/budget/include/almondcart/budget/budget_holder.hpp
+++ b/libraries/budget/include/almondcart/budget/budget_holder.hpp
@@ -38,8 +38,8 @@
 {
     budget_id budget;
     token_count missing = 0;
-    std::int64_t own_demand = 0; ///< worst-case tokens per second
-    bool should_ask = false;     ///< the log cannot help, or has not responded in time
+    std::int64_t own_demand = 0;  ///< worst-case tokens per second
+    bool should_ask = false;      ///< the log cannot help, or has not responded in time
     bool is_log_definite = false; ///< the log is current and has nothing more for this budget
 };
 
@@ -47,8 +47,8 @@
 /// reserved for attempts, settled to actual use, given away, returned.
 ///
 /// Owned by one event loop. Every folded record of a budget shard is passed to `record_folded`
-/// after the fold applied it; `fold_advanced` replaces that when records were skipped (checkpoint or
-/// peer snapshot). `tick` is called at least once per flush interval.
+/// after the fold applied it; `fold_advanced` replaces that when records were skipped (checkpoint
+/// or peer snapshot). `tick` is called at least once per flush interval.
 ///
 /// A token is under exactly one holder at any time: it is debited here for good before it is
 /// returned or transferred, and credited once.
@@ -76,9 +76,9 @@
 
     budget_holder(budget_holder_settings settings, hooks hooks);
 
-    /// Sets aside `worst_case` tokens for one attempt. Calls back once: with the reservation as soon
-    /// as the tokens are there, or with `budget_exhausted`, `budget_unavailable` (deadline passed
-    /// while the log or a peer did not respond), `unknown_budget` or `shutting_down`.
+    /// Sets aside `worst_case` tokens for one attempt. Calls back once: with the reservation as
+    /// soon as the tokens are there, or with `budget_exhausted`, `budget_unavailable` (deadline
+    /// passed while the log or a peer did not respond), `unknown_budget` or `shutting_down`.
     void reserve(
         request_id const& request,
         int attempt,
@@ -141,8 +141,9 @@
     /// Budgets with queued reservations that do not fit.
     std::vector<token_shortage> shortages() const;
 
-    /// Open grants with tokens whose fate only agents can tell: own ones transferred to routers that
-    /// are gone, and those under which an attempt was abandoned for longer than `abandon_limit`.
+    /// Open grants with tokens whose fate only agents can tell: own ones transferred to routers
+    /// that are gone, and those under which an attempt was abandoned for longer than
+    /// `abandon_limit`.
     std::vector<grant_id> stranded_grants() const;
 
     /// Free tokens that could be returned on the log now.
@@ -151,6 +152,10 @@
     /// Tokens this router gave to peers since its start; lets a broker see movement.
     token_count transferred_out_total() const { return transferred_out_total_; }
 
+    /// Whether this holder already submits usage of the request, so that an agent's report of it
+    /// need not be appended.
+    bool has_pending_usage(request_id const& request) const;
+
     std::size_t waiting_count() const;
     budget_account const* find_account(budget_id const& budget) const;
     process_id const& self() const { return settings_.self; }
@@ -187,14 +192,16 @@
 
     struct budget_entry_state
     {
-        explicit budget_entry_state(budget_id id) : account(std::move(id)) {}
+        explicit budget_entry_state(budget_id id)
+            : account(std::move(id))
+        {}
 
         budget_account account;
         std::deque<waiting_entry> waiting;
         std::int64_t draw_sequence = -1; ///< of the draw in flight, -1 if none
         instant drawn_at{};
-        instant moved_at{};                       ///< last draw or return
-        std::map<grant_id, instant> closed_at;    ///< recently closed grants of any holder
+        instant moved_at{};                    ///< last draw or return
+        std::map<grant_id, instant> closed_at; ///< recently closed grants of any holder
         std::map<process_id, std::pair<std::int64_t, std::vector<grant_part>>> given;
     };
 
@@ -214,8 +221,7 @@
     void size_grants(budget_entry_state& it, instant now);
     void draw(budget_entry_state& it, sizing_policy const& policy, sizing_input const& input);
     void give_back(budget_entry_state& it, token_count tokens);
-    sizing_input sizing_input_of(budget_entry_state const& it, budget_entry const& entry)
-        const;
+    sizing_input sizing_input_of(budget_entry_state const& it, budget_entry const& entry) const;
     bool is_log_current() const;
     bool is_returning(budget_id const& budget) const;
     bool is_log_definite(budget_entry_state const& it) const;
@@ -232,6 +238,9 @@
     void free_duplicates(request_id const& request);
     void submit_usage();
     void check_refused_usage(budget_shard_state const& state);
+    void end_usage_flight(
+        std::map<std::int64_t, std::vector<attempt_key>>::iterator flight,
+        budget_shard_state const& state);
     void remove_attempt(std::map<attempt_key, attempt_entry>::iterator it);
     void note(std::string name, budget_id const& budget, std::string detail) const;
 
@@ -239,6 +248,8 @@
     hooks hooks_;
     std::map<budget_id, budget_entry_state> entries_;
     std::map<attempt_key, attempt_entry> attempts_;
+    std::set<attempt_key> undispatched_; ///< granted or lost
+    std::set<attempt_key> abandoned_;
     std::set<attempt_key> unsubmitted_;
     std::map<std::int64_t, std::vector<attempt_key>> usage_in_flight_; ///< by sequence
     std::set<budget_id> with_waiting_;
--- a/libraries/budget/include/almondcart/budget/grant_recovery.hpp
+++ b/libraries/budget/include/almondcart/budget/grant_recovery.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -97,11 +98,11 @@
         std::int64_t recover_sequence = -1;
     };
 
-    void tick_shard(int shard, budget_shard_state const& state, instant now);
+    void
+    tick_shard(budget_shard_state const& state, std::set<grant_id> const& stranded, instant now);
     void consider_close(grant_entry const& grant, std::string reason, instant now);
     void drive(grant_entry const& grant, budget_shard_state const& state, instant now);
-    void
-    ask(process_id const& agent, grant_id const& grant, agent_progress& progress, instant now);
+    void ask(process_id const& agent, grant_id const& grant, agent_progress& progress, instant now);
     void answered(
         grant_id const& grant,
         process_id const& agent,
--- a/libraries/budget/include/almondcart/budget/transfer_broker.hpp
+++ b/libraries/budget/include/almondcart/budget/transfer_broker.hpp
@@ -12,8 +12,8 @@
 
 struct transfer_broker_settings
 {
-    duration response_timeout{200}; ///< then the peer counts as not responding in this round
-    duration retry_interval{50};    ///< between rounds of which nothing came
+    duration response_timeout{200};  ///< then the peer counts as not responding in this round
+    duration retry_interval{50};     ///< between rounds of which nothing came
     std::size_t parallel_limit = 32; ///< unanswered requests per budget
     duration ahead{10'000};          ///< demand of this length is asked for beyond what is missing
 };
@@ -43,8 +43,8 @@
     /// `holder` must outlive the broker.
     transfer_broker(transfer_broker_settings settings, hooks hooks, budget_holder& holder);
 
-    /// Starts and concludes rounds. Called after `budget_holder::tick` and after a `reserve` that did
-    /// not fit.
+    /// Starts and concludes rounds. Called after `budget_holder::tick` and after a `reserve` that
+    /// did not fit.
     void tick();
 
 private:
--- a/libraries/budget/src/budget_account.cpp
+++ b/libraries/budget/src/budget_account.cpp
@@ -14,8 +14,9 @@
 
 bool grant_account::is_balanced() const
 {
-    return free >= 0 && reserved >= 0 && pending >= 0
-        && credited == free + reserved + pending + billed + returned + dropped + transferred_total();
+    return free >= 0 && reserved >= 0 && pending >= 0 &&
+           credited ==
+               free + reserved + pending + billed + returned + dropped + transferred_total();
 }
 
 void budget_account::add_free(grant_account& account, token_count tokens)
--- a/libraries/budget/src/budget_holder.cpp
+++ b/libraries/budget/src/budget_holder.cpp
@@ -1,5 +1,4 @@
 #include <almondcart/budget/budget_holder.hpp>
-
 #include <almondcart/core/hash.hpp>
 
 #include <spdlog/spdlog.h>
@@ -47,6 +46,18 @@
     return it == entries_.end() ? nullptr : &it->second.account;
 }
 
+bool budget_holder::has_pending_usage(request_id const& request) const
+{
+    for (auto it = attempts_.lower_bound({request, 0});
+         it != attempts_.end() && it->first.first == request;
+         ++it)
+    {
+        if (it->second.state == attempt_state::settled)
+            return true;
+    }
+    return false;
+}
+
 std::size_t budget_holder::waiting_count() const
 {
     std::size_t n = 0;
@@ -92,7 +103,8 @@
         auto const it = std::find_if(
             waiting.begin(),
             waiting.end(),
-            [&](auto const& entry) { return entry.request == request && entry.attempt == attempt; });
+            [&](auto const& entry)
+            { return entry.request == request && entry.attempt == attempt; });
         if (it == waiting.end())
             continue;
         waiting.erase(it);
@@ -145,6 +157,7 @@
         entry.value.started_ms = state->time_ms();
     }
     auto const value = entry.value;
+    undispatched_.insert({waiting.request, waiting.attempt});
     attempts_.emplace(attempt_key{waiting.request, waiting.attempt}, std::move(entry));
     deliveries_.emplace_back([callback = std::move(waiting.callback), value] { callback(value); });
 }
@@ -176,6 +189,7 @@
     if (it == attempts_.end())
         return make_status(result_code::internal_error, "attempt is not reserved");
     auto& entry = it->second;
+    undispatched_.erase(it->first);
     if (entry.state == attempt_state::lost)
     {
         attempts_.erase(it);
@@ -210,6 +224,8 @@
     entry.state = attempt_state::settled;
     entry.changed_at = hooks_.now();
     entry.usage = usage;
+    undispatched_.erase(it->first);
+    abandoned_.erase(it->first);
     if (entry.is_billed_elsewhere || usage.parts.empty())
     {
         account.set_unbilled(usage.parts);
@@ -230,7 +246,7 @@
     auto& budget = entry_of(value.budget);
     if (it->second.state != attempt_state::lost)
         budget.account.unreserve(it->second.value.parts);
-    attempts_.erase(it);
+    remove_attempt(it);
     serve(budget);
     deliver();
 }
@@ -241,6 +257,7 @@
     if (it == attempts_.end() || it->second.state != attempt_state::dispatched)
         return;
     it->second.state = attempt_state::abandoned;
+    abandoned_.insert(it->first);
     it->second.changed_at = hooks_.now();
 }
 
@@ -264,8 +281,8 @@
         return given->second.second;
     if (given != it.given.end() && transfer.number < given->second.first)
         return std::vector<grant_part>{};
-    auto const is_first_here = !it.waiting.empty()
-        && rank_of(settings_.self, budget) > rank_of(transfer.receiver, budget);
+    auto const is_first_here =
+        !it.waiting.empty() && rank_of(settings_.self, budget) > rank_of(transfer.receiver, budget);
     if (is_first_here)
         return make_status(result_code::budget_unavailable, "requests wait here for these tokens");
     auto parts = it.account.transfer(transfer.receiver, std::max<token_count>(tokens, 0));
@@ -303,7 +320,8 @@
         // that it has passed must be open.
         auto const is_passed = state != nullptr && part.grant.offset <= state->offset();
         auto const* grant = is_passed ? state->find_grant(part.grant) : nullptr;
-        auto const is_usable = !is_passed || (grant != nullptr && grant->state == grant_state::open);
+        auto const is_usable =
+            !is_passed || (grant != nullptr && grant->state == grant_state::open);
         if (part.tokens <= 0 || !is_usable || it.account.is_closed(part.grant))
             continue;
         it.account.credit(part.grant, part.tokens, credited_grants_.contains(part.grant));
@@ -339,7 +357,8 @@
             continue;
         }
         if (first.queued_at <= asked_at)
-            refuse(first, result_code::budget_exhausted, "budget " + to_text(budget) + " is used up");
+            refuse(
+                first, result_code::budget_exhausted, "budget " + to_text(budget) + " is used up");
         else
             kept.push_back(std::move(first));
         it->waiting.pop_front();
--- a/libraries/budget/src/budget_holder_fold.cpp
+++ b/libraries/budget/src/budget_holder_fold.cpp
@@ -9,6 +9,9 @@
 
 constexpr std::size_t usage_items_per_record = 128;
 
+/// While the log is down, usage waits here and later fills whole records.
+constexpr std::size_t usage_records_in_flight = 32;
+
 /// Whether `parts` could be the usage of an attempt that reserved `reserved`.
 bool is_within(std::vector<grant_part> const& parts, std::vector<grant_part> const& reserved)
 {
@@ -31,7 +34,12 @@
     else if (auto const* close = std::get_if<close_record>(&body))
         close_folded(close->grant, state);
     else if (auto const* usage = std::get_if<usage_record>(&body))
+    {
         usage_folded(*usage, record.offset, state);
+        auto const flight = usage_in_flight_.find(record.record.sequence);
+        if (record.record.writer == settings_.self && flight != usage_in_flight_.end())
+            end_usage_flight(flight, state);
+    }
     else if (auto const* returned = std::get_if<return_record>(&body))
     {
         if (record.record.writer == settings_.self)
@@ -71,8 +79,8 @@
         returns_in_flight_,
         [&](auto const& item)
         {
-            return shard_of(item.second.account) == state.shard()
-                && state.has_folded(settings_.self, item.first);
+            return shard_of(item.second.account) == state.shard() &&
+                   state.has_folded(settings_.self, item.first);
         });
     check_refused_usage(state);
     drop_recovered_attempts(state);
@@ -91,28 +99,20 @@
 
 void budget_holder::drop_recovered_attempts(budget_shard_state const& state)
 {
-    for (auto it = attempts_.begin(); it != attempts_.end();)
+    for (auto const& key : std::set<attempt_key>(abandoned_))
     {
-        auto const& entry = it->second;
-        auto const is_decided = entry.state == attempt_state::abandoned
-            && shard_of(it->first.first.account) == state.shard()
-            && std::all_of(
-                   entry.value.parts.begin(),
-                   entry.value.parts.end(),
-                   [&](auto const& part) {
-                       return part.grant.offset <= state.offset()
-                           && state.find_grant(part.grant) == nullptr;
-                   });
-        if (!is_decided)
-        {
-            ++it;
+        auto const it = attempts_.find(key);
+        auto const& parts = it->second.value.parts;
+        auto const is_gone = [&](grant_part const& part)
+        { return part.grant.offset <= state.offset() && state.find_grant(part.grant) == nullptr; };
+        if (shard_of(key.first.account) != state.shard() ||
+            !std::all_of(parts.begin(), parts.end(), is_gone))
             continue;
-        }
-        auto& budget = entry_of(entry.value.budget);
-        for (auto const& part : entry.value.parts)
+        auto& budget = entry_of(it->second.value.budget);
+        for (auto const& part : parts)
             close_locally(budget, part.grant);
-        budget.account.unreserve(entry.value.parts);
-        it = attempts_.erase(it);
+        budget.account.unreserve(parts);
+        remove_attempt(it);
     }
 }
 
@@ -161,8 +161,9 @@
         return;
     it.account.close(grant);
     note("grant_closed", it.account.id(), to_text(grant));
-    for (auto& [key, entry] : attempts_)
+    for (auto const& key : undispatched_)
     {
+        auto& entry = attempts_.at(key);
         if (entry.state != attempt_state::granted || entry.value.budget != it.account.id())
             continue;
         auto& parts = entry.value.parts;
@@ -197,7 +198,6 @@
                 grant_ended(part.grant, item.request.account);
         }
     }
-    check_refused_usage(state);
 }
 
 void budget_holder::grant_ended(grant_id const& id, account_id const& account)
@@ -220,8 +220,8 @@
         auto const& entry = it->second;
         if (entry.state == attempt_state::settled && entry.usage.parts == item.parts)
             return it;
-        auto const has_run = entry.state == attempt_state::abandoned
-            || entry.state == attempt_state::dispatched;
+        auto const has_run =
+            entry.state == attempt_state::abandoned || entry.state == attempt_state::dispatched;
         if (has_run && running == attempts_.end() && is_within(item.parts, entry.value.parts))
             running = it;
     }
@@ -269,12 +269,16 @@
 
 void budget_holder::remove_attempt(std::map<attempt_key, attempt_entry>::iterator it)
 {
+    undispatched_.erase(it->first);
+    abandoned_.erase(it->first);
     unsubmitted_.erase(it->first);
     attempts_.erase(it);
 }
 
 void budget_holder::submit_usage()
 {
+    if (usage_in_flight_.size() >= usage_records_in_flight)
+        return;
     std::map<int, usage_record> records;
     std::map<int, std::vector<attempt_key>> keys;
     auto const send = [&](int shard)
@@ -304,32 +308,35 @@
 
 void budget_holder::check_refused_usage(budget_shard_state const& state)
 {
-    for (auto flight = usage_in_flight_.begin(); flight != usage_in_flight_.end();)
+    for (auto it = usage_in_flight_.begin(); it != usage_in_flight_.end();)
     {
-        auto const is_of_shard = !flight->second.empty()
-            && shard_of(flight->second.front().first.account) == state.shard();
-        if (!is_of_shard || !state.has_folded(settings_.self, flight->first))
-        {
-            ++flight;
+        auto const flight = it++;
+        auto const is_of_shard = shard_of(flight->second.front().first.account) == state.shard();
+        if (is_of_shard && state.has_folded(settings_.self, flight->first))
+            end_usage_flight(flight, state);
+    }
+}
+
+void budget_holder::end_usage_flight(
+    std::map<std::int64_t, std::vector<attempt_key>>::iterator flight,
+    budget_shard_state const& state)
+{
+    for (auto const& key : flight->second)
+    {
+        auto const it = attempts_.find(key);
+        if (it == attempts_.end() || it->second.usage_sequence != flight->first)
             continue;
-        }
-        for (auto const& key : flight->second)
-        {
-            auto const it = attempts_.find(key);
-            if (it == attempts_.end() || it->second.usage_sequence != flight->first)
-                continue;
-            // Refused by the fold, or billed by a record that was skipped: its tokens are not
-            // reused, because this router cannot know under which grants the request was billed.
-            entry_of(it->second.value.budget).account.set_billed(it->second.usage.parts);
-            auto const* request = state.find_request(key.first);
-            if (request == nullptr || !request->is_billed)
-                note("usage_refused", it->second.value.budget, to_text(key.first));
-            else if (hooks_.usage_billed)
-                hooks_.usage_billed(key.first);
-            remove_attempt(it);
-        }
-        flight = usage_in_flight_.erase(flight);
+        // Refused by the fold, or billed by a record that was skipped: its tokens are not reused,
+        // because this router cannot know under which grants the request was billed.
+        entry_of(it->second.value.budget).account.set_billed(it->second.usage.parts);
+        auto const* request = state.find_request(key.first);
+        if (request == nullptr || !request->is_billed)
+            note("usage_refused", it->second.value.budget, to_text(key.first));
+        else if (hooks_.usage_billed)
+            hooks_.usage_billed(key.first);
+        remove_attempt(it);
     }
+    usage_in_flight_.erase(flight);
 }
 
 bool budget_holder::is_returning(budget_id const& budget) const
@@ -348,8 +355,8 @@
 bool budget_holder::is_log_definite(budget_entry_state const& it) const
 {
     auto const* entry = folded(it.account.id());
-    if (!is_log_current() || entry == nullptr || entry->unallocated() > 0 || it.draw_sequence >= 0
-        || is_returning(it.account.id()))
+    if (!is_log_current() || entry == nullptr || entry->unallocated() > 0 ||
+        it.draw_sequence >= 0 || is_returning(it.account.id()))
         return false;
     auto const* state = hooks_.shard_state(shard_of(it.account.id().account));
     auto const peers = hooks_.live_peers();
@@ -362,11 +369,11 @@
             if (grant == nullptr || grant->amount <= grant->billed)
                 return true;
             if (grant->state == grant_state::open)
-                return grant->holder == settings_.self
-                    || std::find(peers.begin(), peers.end(), grant->holder) != peers.end();
+                return grant->holder == settings_.self ||
+                       std::find(peers.begin(), peers.end(), grant->holder) != peers.end();
             auto const closed = it.closed_at.find(id);
-            return closed == it.closed_at.end()
-                || hooks_.now() - closed->second > settings_.recovery_patience;
+            return closed == it.closed_at.end() ||
+                   hooks_.now() - closed->second > settings_.recovery_patience;
         });
 }
 
@@ -447,10 +454,10 @@
         shortage.budget = id;
         shortage.missing = std::max<token_count>(1, input.waiting - input.free);
         shortage.own_demand = input.own_demand;
-        auto const is_draw_late
-            = it.draw_sequence >= 0 && now - it.drawn_at >= 2 * settings_.flush_interval;
-        shortage.should_ask
-            = input.unallocated < shortage.missing || is_draw_late || !is_log_current();
+        auto const is_draw_late =
+            it.draw_sequence >= 0 && now - it.drawn_at >= 2 * settings_.flush_interval;
+        shortage.should_ask =
+            input.unallocated < shortage.missing || is_draw_late || !is_log_current();
         shortage.is_log_definite = is_log_definite(it);
         result.push_back(std::move(shortage));
     }
@@ -482,10 +489,10 @@
                 result.insert(grant);
         }
     }
-    for (auto const& [key, entry] : attempts_)
+    for (auto const& key : abandoned_)
     {
-        if (entry.state != attempt_state::abandoned
-            || now - entry.changed_at < settings_.abandon_limit)
+        auto const& entry = attempts_.at(key);
+        if (now - entry.changed_at < settings_.abandon_limit)
             continue;
         for (auto const& part : entry.value.parts)
             result.insert(part.grant);
--- a/libraries/budget/src/grant_recovery.cpp
+++ b/libraries/budget/src/grant_recovery.cpp
@@ -1,9 +1,7 @@
 #include <almondcart/budget/grant_recovery.hpp>
-
 #include <almondcart/core/hash.hpp>
 
 #include <algorithm>
-#include <set>
 
 namespace almondcart {
 
@@ -15,28 +13,31 @@
 void grant_recovery::tick()
 {
     auto const now = hooks_.now();
+    auto const stranded = hooks_.stranded_grants();
+    std::set<grant_id> const own(stranded.begin(), stranded.end());
     for (int shard = 0; shard < budget_shard_count; ++shard)
     {
         if (auto const* state = hooks_.shard_state(shard))
-            tick_shard(shard, *state, now);
+            tick_shard(*state, own, now);
     }
 }
 
-void grant_recovery::tick_shard(int shard, budget_shard_state const& state, instant now)
+void grant_recovery::tick_shard(
+    budget_shard_state const& state,
+    std::set<grant_id> const& stranded,
+    instant now)
 {
     auto const is_ended = [&](auto const& item)
-    { return item.first.shard == shard && state.find_grant(item.first) == nullptr; };
+    { return item.first.shard == state.shard() && state.find_grant(item.first) == nullptr; };
     std::erase_if(tasks_, is_ended);
     std::erase_if(suspected_since_, is_ended);
     std::erase_if(close_sequences_, is_ended);
 
-    auto const stranded = hooks_.stranded_grants();
-    std::set<grant_id> const own(stranded.begin(), stranded.end());
     for (auto const& [id, grant] : state.grants())
     {
         if (grant.state == grant_state::closed)
             drive(grant, state, now);
-        else if (own.contains(id))
+        else if (stranded.contains(id))
             consider_close(grant, "tokens stranded", now);
         else if (grant.holder != settings_.self && hooks_.is_dead(grant.holder))
             consider_close(grant, "holder does not respond", now);
@@ -71,8 +72,8 @@
             ask(agent, grant.id, progress, now);
         is_clear = submit_finished(it, progress, state, now) && is_quiet && is_clear;
     }
-    auto const is_submitted = it.recover_sequence >= 0
-        && !state.has_folded(settings_.self, it.recover_sequence);
+    auto const is_submitted =
+        it.recover_sequence >= 0 && !state.has_folded(settings_.self, it.recover_sequence);
     if (!is_clear || is_submitted)
         return;
     note("recover_grant", grant, std::to_string(required.size()) + " agents reported");
@@ -150,8 +151,8 @@
 void grant_recovery::back_off(agent_progress& progress, instant now) const
 {
     progress.is_asking = false;
-    progress.backoff = std::clamp(
-        progress.backoff * 2, settings_.first_backoff, settings_.longest_backoff);
+    progress.backoff =
+        std::clamp(progress.backoff * 2, settings_.first_backoff, settings_.longest_backoff);
     progress.next_at = now + progress.backoff;
 }
 
@@ -193,15 +194,16 @@
             auto const& report = *progress->second.report;
             if (report.running > 0)
                 entry.running.push_back(agent);
-            entry.is_usage_unbilled = entry.is_usage_unbilled
-                || std::any_of(
-                       report.finished.begin(),
-                       report.finished.end(),
-                       [&](usage_item const& item)
-                       {
-                           auto const* request = state->find_request(item.request);
-                           return request == nullptr || !request->is_billed;
-                       });
+            entry.is_usage_unbilled =
+                entry.is_usage_unbilled || std::any_of(
+                                               report.finished.begin(),
+                                               report.finished.end(),
+                                               [&](usage_item const& item)
+                                               {
+                                                   auto const* request =
+                                                       state->find_request(item.request);
+                                                   return request == nullptr || !request->is_billed;
+                                               });
         }
         result.push_back(std::move(entry));
     }
--- a/libraries/budget/src/grant_sizing.cpp
+++ b/libraries/budget/src/grant_sizing.cpp
@@ -19,7 +19,8 @@
     if (input.own_demand <= 0)
         return 0;
     auto const wanted = double(input.own_demand) * double(policy.horizon.count()) / 1000;
-    auto const share = double(input.own_demand) / double(std::max(input.own_demand, input.all_demand));
+    auto const share =
+        double(input.own_demand) / double(std::max(input.own_demand, input.all_demand));
     auto const cap = share * policy.fraction * double(std::max<token_count>(0, input.unspent));
     return token_count(std::min(wanted, cap));
 }
--- a/libraries/budget/src/transfer_broker.cpp
+++ b/libraries/budget/src/transfer_broker.cpp
@@ -61,8 +61,7 @@
     // because peers hold unequal amounts.
     auto const ahead = shortage.own_demand * settings_.ahead.count() / 1000;
     auto const n = token_count(std::max<std::size_t>(1, it.to_ask.size()));
-    it.tokens_per_peer
-        = it.number == 0 ? (shortage.missing + ahead + n - 1) / n : shortage.missing;
+    it.tokens_per_peer = it.number == 0 ? (shortage.missing + ahead + n - 1) / n : shortage.missing;
     ++it.number;
 }
 
@@ -129,8 +128,8 @@
         [&](process_id const& peer)
         {
             auto const request = requests_.find({peer, budget});
-            auto const is_late = request == requests_.end()
-                || now - request->second.sent_at >= settings_.response_timeout;
+            auto const is_late = request == requests_.end() ||
+                                 now - request->second.sent_at >= settings_.response_timeout;
             if (is_late)
                 it.is_definite = false;
             return is_late;
@@ -161,8 +160,8 @@
         requests_,
         [&](auto const& item)
         {
-            auto const is_live
-                = std::find(peers.begin(), peers.end(), item.first.first) != peers.end();
+            auto const is_live =
+                std::find(peers.begin(), peers.end(), item.first.first) != peers.end();
             if (!is_live)
                 holder_.forget_transfer(item.second.transfer);
             return !is_live;
--- a/services/router/fleet_log.hpp
+++ b/services/router/fleet_log.hpp
@@ -1,9 +1,5 @@
 #pragma once
 
-#include "fleet_fold.hpp"
-#include "log_transport.hpp"
-#include "router_settings.hpp"
-
 #include <almondcart/http/http_client.hpp>
 
 #include <json/json.h>
@@ -14,6 +10,10 @@
 #include <utility>
 #include <vector>
 
+#include "fleet_fold.hpp"
+#include "log_transport.hpp"
+#include "router_settings.hpp"
+
 namespace almondcart {
 
 /// Connection between the log and the folds of a router.
@@ -21,7 +21,10 @@
 {
 public:
     fleet_log(
-        router_settings const& settings, process_id self, http_client& client, fleet_fold& fold);
+        router_settings const& settings,
+        process_id self,
+        http_client& client,
+        fleet_fold& fold);
 
     void start() { read(); }
     void tick();
--- a/services/router/main.cpp
+++ b/services/router/main.cpp
@@ -1,6 +1,3 @@
-#include "router.hpp"
-#include "router_settings.hpp"
-
 #include <almondcart/core/logging.hpp>
 #include <almondcart/core/status.hpp>
 
@@ -8,6 +5,9 @@
 
 #include <iostream>
 
+#include "router.hpp"
+#include "router_settings.hpp"
+
 namespace {
 
 constexpr int exit_invalid_settings = 2;
@@ -29,25 +29,24 @@
     try
     {
         auto const parsed = options.parse(argc, argv);
-        if(parsed.count("help") > 0)
+        if (parsed.count("help") > 0)
         {
             std::cout << options.help();
             return 0;
         }
-        auto settings =
-            almondcart::router_settings::load(parsed["settings"].as<std::string>());
-        if(!settings.ok())
+        auto settings = almondcart::router_settings::load(parsed["settings"].as<std::string>());
+        if (!settings.ok())
             return report(settings.status());
-        if(auto const status = almondcart::set_up_logging(settings->name, settings->log_level);
-           !status.ok())
+        if (auto const status = almondcart::set_up_logging(settings->name, settings->log_level);
+            !status.ok())
             return report(status);
         auto const router = almondcart::router::create(*std::move(settings));
-        if(!router.ok())
+        if (!router.ok())
             return report(router.status());
         (*router)->run();
         return 0;
     }
-    catch(cxxopts::exceptions::exception const& error)
+    catch (cxxopts::exceptions::exception const& error)
     {
         std::cerr << "almondcart-router: " << error.what() << "\n" << options.help();
         return exit_invalid_settings;
--- a/services/router/router.cpp
+++ b/services/router/router.cpp
@@ -26,13 +26,13 @@
     auto loop = std::make_unique<event_loop>();
     auto callers = http_server::create(
         *loop, {settings.listen, static_cast<std::size_t>(settings.body_limit_bytes)});
-    if(!callers.ok())
+    if (!callers.ok())
         return callers.status();
     auto control = http_server::create(*loop, {settings.peer_listen});
-    if(!control.ok())
+    if (!control.ok())
         return control.status();
-    return std::unique_ptr<router>(new router(
-        std::move(settings), std::move(loop), *std::move(callers), *std::move(control)));
+    return std::unique_ptr<router>(
+        new router(std::move(settings), std::move(loop), *std::move(callers), *std::move(control)));
 }
 
 router::router(
@@ -110,12 +110,15 @@
     metrics_.serve(*callers_);
     metrics_.serve(*control_);
     loop_->every(tick_interval, [this] { tick(); });
-    loop_->every(heartbeat_interval, [this] {
-        peers_.send_heartbeats();
-        limits_.tick();
-        vm_list_.poll();
-        update_metrics();
-    });
+    loop_->every(
+        heartbeat_interval,
+        [this]
+        {
+            peers_.send_heartbeats();
+            limits_.tick();
+            vm_list_.poll();
+            update_metrics();
+        });
     loop_->on_stop_signal([this] { begin_stop(); });
 }
 
@@ -134,15 +137,12 @@
 fleet_fold::hooks router::create_fold_hooks()
 {
     fleet_fold::hooks hooks;
-    hooks.configuration_changed = [this](configuration_state const& it) {
-        configuration_changed(it);
-    };
-    hooks.record_folded = [this](stored_record const& record, budget_shard_state const& state) {
-        record_folded(record, state);
-    };
-    hooks.shard_replaced = [this](budget_shard_state const& state) {
-        holder_.fold_advanced(state);
-    };
+    hooks.configuration_changed = [this](configuration_state const& it)
+    { configuration_changed(it); };
+    hooks.record_folded = [this](stored_record const& record, budget_shard_state const& state)
+    { record_folded(record, state); };
+    hooks.shard_replaced = [this](budget_shard_state const& state)
+    { holder_.fold_advanced(state); };
     return hooks;
 }
 
@@ -169,9 +169,8 @@
                                  transfer_id const& transfer,
                                  budget_id const& budget,
                                  token_count tokens,
-                                 transfer_broker::transfer_callback done) {
-        request_transfer(peer, transfer, budget, tokens, std::move(done));
-    };
+                                 transfer_broker::transfer_callback done)
+    { request_transfer(peer, transfer, budget, tokens, std::move(done)); };
     return hooks;
 }
 
@@ -184,12 +183,9 @@
     hooks.live_peers = [this] { return members_.live_peers(); };
     hooks.is_dead = [this](process_id const& holder) { return is_dead(holder); };
     hooks.stranded_grants = [this] { return holder_.stranded_grants(); };
-    hooks.close_grant = [this](
-                            process_id const& agent,
-                            grant_id const& grant,
-                            grant_recovery::report_callback done) {
-        close_grant(agent, grant, std::move(done));
-    };
+    hooks.close_grant =
+        [this](process_id const& agent, grant_id const& grant, grant_recovery::report_callback done)
+    { close_grant(agent, grant, std::move(done)); };
     hooks.record_event = [this](event entry) { journal_.record(std::move(entry)); };
     return hooks;
 }
@@ -197,7 +193,8 @@
 membership_hooks router::create_member_hooks()
 {
     membership_hooks hooks;
-    hooks.upstream_changed = [this](std::string const& upstream, upstream_state state) {
+    hooks.upstream_changed = [this](std::string const& upstream, upstream_state state)
+    {
         spdlog::info("[routing] Upstream {} is now {}.", upstream, name_of(state));
         event entry;
         entry.part = "routing";
@@ -205,7 +202,8 @@
         entry.upstream = upstream;
         journal_.record(std::move(entry));
     };
-    hooks.peer_suspected = [this](process_id const& peer) {
+    hooks.peer_suspected = [this](process_id const& peer)
+    {
         spdlog::warn("[routing] Router {} does not respond.", to_text(peer));
         event entry;
         entry.part = "routing";
@@ -219,16 +217,15 @@
 crash_suspects_hooks router::create_suspect_hooks()
 {
     crash_suspects_hooks hooks;
-    hooks.identified = [this](
-                           std::string const& fingerprint,
-                           std::vector<crash_record> const& records) {
-        fingerprint_identified(fingerprint, records);
-    };
-    hooks.cleared = [this](std::string const& fingerprint, std::set<std::string> const& crashes) {
+    hooks.identified =
+        [this](std::string const& fingerprint, std::vector<crash_record> const& records)
+    { fingerprint_identified(fingerprint, records); };
+    hooks.cleared = [this](std::string const& fingerprint, std::set<std::string> const& crashes)
+    {
         Json::Value params(Json::objectValue);
         params["fingerprint"] = fingerprint;
         params["crashes"] = Json::Value(Json::arrayValue);
-        for(auto const& crash : crashes)
+        for (auto const& crash : crashes)
             params["crashes"].append(crash);
         peers_.notify_all("clear_fingerprint", params);
     };
@@ -256,11 +253,11 @@
 
 void router::configuration_changed(configuration_state const& state)
 {
-    for(auto const& [service, published] : state.documents())
+    for (auto const& [service, published] : state.documents())
         pools_.configure(*published.document);
-    for(auto const& [fingerprint, crashes] : state.crashes())
+    for (auto const& [fingerprint, crashes] : state.crashes())
     {
-        if(state.is_blocked(fingerprint))
+        if (state.is_blocked(fingerprint))
             suspects_.block(fingerprint);
     }
     limits_.tick();
@@ -274,13 +271,13 @@
 void router::record_folded(stored_record const& record, budget_shard_state const& state)
 {
     holder_.record_folded(record, state);
-    if(auto const* usage = std::get_if<usage_record>(&record.record.body))
+    if (auto const* usage = std::get_if<usage_record>(&record.record.body))
         acknowledger_.folded(*usage);
 }
 
 void router::usage_billed(request_id const& id)
 {
-    if(auto const* known = directory_.find(id))
+    if (auto const* known = directory_.find(id))
         acknowledger_.expect(id, known->upstream);
 }
 
@@ -292,7 +289,7 @@
     transfer_broker::transfer_callback done)
 {
     auto const* address = members_.find_peer_address(peer);
-    if(address == nullptr)
+    if (address == nullptr)
         return;
     Json::Value params(Json::objectValue);
     params["transfer"] = to_text(transfer);
@@ -303,15 +300,16 @@
         "transfer_tokens",
         params,
         transfer_timeout,
-        [done = std::move(done)](absl::StatusOr<Json::Value> const& reply) {
-            if(!reply.ok())
+        [done = std::move(done)](absl::StatusOr<Json::Value> const& reply)
+        {
+            if (!reply.ok())
             {
                 done(reply.status());
                 return;
             }
             json_reader reader(*reply, "transfer_tokens", result_code::malformed_request);
             auto parts = read_grant_parts(reader, "parts");
-            if(auto status = reader.finish(); !status.ok())
+            if (auto status = reader.finish(); !status.ok())
                 done(status);
             else
                 done(std::move(parts));
@@ -319,10 +317,12 @@
 }
 
 void router::close_grant(
-    process_id const& agent, grant_id const& grant, grant_recovery::report_callback done)
+    process_id const& agent,
+    grant_id const& grant,
+    grant_recovery::report_callback done)
 {
     auto const* beat = agents_.find(agent);
-    if(beat == nullptr)
+    if (beat == nullptr)
     {
         done(make_status(result_code::no_upstream, "the agent is not known"));
         return;
@@ -334,21 +334,22 @@
         "close_grant",
         params,
         close_grant_timeout,
-        [done = std::move(done)](absl::StatusOr<Json::Value> const& reply) {
-            if(!reply.ok())
+        [done = std::move(done)](absl::StatusOr<Json::Value> const& reply)
+        {
+            if (!reply.ok())
             {
                 done(reply.status());
                 return;
             }
             json_reader reader(*reply, "close_grant", result_code::malformed_request);
             auto const id = try_process_id(reader.string("agent"));
-            if(!id)
+            if (!id)
                 reader.fail("agent", "a process id");
             grant_report report;
             report.finished = read_usage_items(reader, "finished");
             report.running = static_cast<int>(reader.integer("running", 0, 1'000'000));
             static_cast<void>(reader.value_or_null("config_offset"));
-            if(auto status = reader.finish(); !status.ok())
+            if (auto status = reader.finish(); !status.ok())
             {
                 done(status);
                 return;
@@ -366,64 +367,77 @@
 }
 
 void router::fingerprint_identified(
-    std::string const& fingerprint, std::vector<crash_record> const& records)
+    std::string const& fingerprint,
+    std::vector<crash_record> const& records)
 {
     spdlog::warn("[routing] Blocked the fingerprint {}: it crashes upstreams.", fingerprint);
     Json::Value params(Json::objectValue);
     params["fingerprint"] = fingerprint;
     peers_.notify_all("block_fingerprint", params);
-    if(fold_.configuration().is_blocked(fingerprint))
+    if (fold_.configuration().is_blocked(fingerprint))
         return;
-    for(auto const& it : records)
+    for (auto const& it : records)
     {
         auto const request = try_request_id(it.request);
-        if(request)
+        if (request)
             log_.submit(crash_report_record{it.fingerprint, it.upstream, it.agent, *request});
     }
 }
 
 void router::serve_pages(http_server& server)
 {
-    auto const answer = [](http_exchange& exchange, Json::Value const& value) {
-        exchange.respond_text(http_ok, "application/json", to_compact_json(value));
-    };
-    server.route("GET", "/healthz", [](std::shared_ptr<http_exchange> const& it) {
-        it->respond_text(http_ok, "text/plain", "ok\n");
-    });
-    server.route("GET", "/readyz", [this](std::shared_ptr<http_exchange> const& it) {
-        bool const is_ready = log_.has_caught_up() && !is_stopping_;
-        it->respond_text(
-            is_ready ? http_ok : http_unavailable, "text/plain", is_ready ? "ready\n" : "not ready\n");
-    });
-    server.route("GET", "/status", [this, answer](std::shared_ptr<http_exchange> const& it) {
-        answer(*it, status_.to_json());
-    });
-    server.route("GET", "/timeline", [this, answer](std::shared_ptr<http_exchange> const& it) {
-        answer(*it, journal_.to_json());
-    });
+    auto const answer = [](http_exchange& exchange, Json::Value const& value)
+    { exchange.respond_text(http_ok, "application/json", to_compact_json(value)); };
+    server.route(
+        "GET",
+        "/healthz",
+        [](std::shared_ptr<http_exchange> const& it)
+        { it->respond_text(http_ok, "text/plain", "ok\n"); });
+    server.route(
+        "GET",
+        "/readyz",
+        [this](std::shared_ptr<http_exchange> const& it)
+        {
+            bool const is_ready = log_.has_caught_up() && !is_stopping_;
+            it->respond_text(
+                is_ready ? http_ok : http_unavailable,
+                "text/plain",
+                is_ready ? "ready\n" : "not ready\n");
+        });
+    server.route(
+        "GET",
+        "/status",
+        [this, answer](std::shared_ptr<http_exchange> const& it)
+        { answer(*it, status_.to_json()); });
+    server.route(
+        "GET",
+        "/timeline",
+        [this, answer](std::shared_ptr<http_exchange> const& it)
+        { answer(*it, journal_.to_json()); });
 }
 
 void router::update_metrics()
 {
-    auto const set = [this](char const* name, char const* help, double value) {
-        metrics_.gauge(name, help).Set(value);
-    };
-    set("almondcart_requests_in_flight", "Requests in progress.",
+    auto const set = [this](char const* name, char const* help, double value)
+    { metrics_.gauge(name, help).Set(value); };
+    set("almondcart_requests_in_flight",
+        "Requests in progress.",
         static_cast<double>(front_end_.session_count()));
-    set("almondcart_config_offset", "Offset of the configuration in force.",
+    set("almondcart_config_offset",
+        "Offset of the configuration in force.",
         static_cast<double>(fold_.configuration().offset()));
     set("almondcart_log_available", "1 while the log responds.", log_.is_available() ? 1 : 0);
-    set("almondcart_grants_in_recovery", "Closed grants that wait for agents.",
+    set("almondcart_grants_in_recovery",
+        "Closed grants that wait for agents.",
         static_cast<double>(recovery_.waiting().size()));
     set("almondcart_retries_available", "Retries that could be taken now.", retries_.available());
-    for(int n = 0; n < budget_shard_count; ++n)
+    for (int n = 0; n < budget_shard_count; ++n)
     {
-        for(auto const& [id, entry] : fold_.shard(n).budgets())
+        for (auto const& [id, entry] : fold_.shard(n).budgets())
         {
             prometheus::Labels const labels = {{"budget", to_text(id)}};
-            auto const gauge = [this, &labels](char const* name, char const* help, token_count n) {
-                metrics_.gauge(name, help, labels).Set(static_cast<double>(n));
-            };
+            auto const gauge = [this, &labels](char const* name, char const* help, token_count n)
+            { metrics_.gauge(name, help, labels).Set(static_cast<double>(n)); };
             gauge("almondcart_budget_total_tokens", "Prepaid tokens.", entry.total);
             gauge("almondcart_budget_billed_tokens", "Billed tokens.", entry.billed);
             gauge("almondcart_budget_charged_tokens", "Granted or billed tokens.", entry.charged);
@@ -441,18 +455,17 @@
     recovery_.tick();
     suspects_.tick();
     acknowledger_.tick();
-    if(is_stopping_)
+    if (is_stopping_)
         continue_stop();
 }
 
 void router::begin_stop()
 {
-    if(is_stopping_)
+    if (is_stopping_)
         return;
     is_stopping_ = true;
     stop_deadline_ = loop_->now() + settings_.shutdown_timeout;
-    spdlog::info(
-        "[router] Stops with {} requests in flight.", front_end_.session_count());
+    spdlog::info("[router] Stops with {} requests in flight.", front_end_.session_count());
     front_end_.begin_shutdown();
     peers_.send_heartbeats();
 }
@@ -460,13 +473,13 @@
 void router::continue_stop()
 {
     bool const is_late = loop_->now() >= stop_deadline_;
-    if(front_end_.session_count() > 0 && !is_late)
+    if (front_end_.session_count() > 0 && !is_late)
         return;
     // Grants are returned only when no request needs them any more.
     holder_.begin_shutdown();
-    if(!(holder_.is_drained() && log_.is_flushed()) && !is_late)
+    if (!(holder_.is_drained() && log_.is_flushed()) && !is_late)
         return;
-    if(is_late)
+    if (is_late)
         spdlog::warn("[router] Stops before its grants are returned or its requests are done.");
     loop_->stop();
 }
--- a/services/router/router.hpp
+++ b/services/router/router.hpp
@@ -1,5 +1,12 @@
 #pragma once
 
+#include <almondcart/budget/grant_recovery.hpp>
+#include <almondcart/http/metrics.hpp>
+
+#include <absl/status/statusor.h>
+
+#include <memory>
+
 #include "agent_directory.hpp"
 #include "agent_registrar.hpp"
 #include "control_service.hpp"
@@ -17,13 +24,6 @@
 #include "usage_acknowledger.hpp"
 #include "vm_list_reader.hpp"
 
-#include <almondcart/budget/grant_recovery.hpp>
-#include <almondcart/http/metrics.hpp>
-
-#include <absl/status/statusor.h>
-
-#include <memory>
-
 namespace almondcart {
 
 /// Router process: the objects of one router and the connections between them.
@@ -62,10 +62,13 @@
         token_count tokens,
         transfer_broker::transfer_callback done);
     void close_grant(
-        process_id const& agent, grant_id const& grant, grant_recovery::report_callback done);
+        process_id const& agent,
+        grant_id const& grant,
+        grant_recovery::report_callback done);
     bool is_dead(process_id const& holder) const;
     void fingerprint_identified(
-        std::string const& fingerprint, std::vector<crash_record> const& records);
+        std::string const& fingerprint,
+        std::vector<crash_record> const& records);
     void serve_pages(http_server& server);
     void update_metrics();
     void tick();
--- a/utilities/bench/agent_model.cpp
+++ b/utilities/bench/agent_model.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+constexpr duration first_report{2000}; ///< the router that ran the work submits its usage sooner
+constexpr duration report_interval{60'000};
+
 bool has_part(std::vector<grant_part> const& parts, grant_id const& grant)
 {
     return std::any_of(
@@ -38,7 +41,7 @@
             running_.erase(work.request);
             usage_item const usage{
                 work.request, work.started_ms, first_tokens_of(work.parts, request.actual)};
-            unacknowledged_[work.request] = {usage, world_.queue.now()};
+            unacknowledged_[work.request] = {usage, world_.queue.now() + first_report};
             world_.judge.finished(request);
             finished(usage);
         });
@@ -62,13 +65,16 @@
     return report;
 }
 
-std::vector<usage_item> agent_model::unacknowledged_before(instant time) const
+std::vector<usage_item> agent_model::usage_to_report()
 {
     std::vector<usage_item> items;
-    for (auto const& [id, work] : unacknowledged_)
+    auto const now = world_.queue.now();
+    for (auto& [id, work] : unacknowledged_)
     {
-        if (work.at < time)
-            items.push_back(work.usage);
+        if (work.report_at > now)
+            continue;
+        items.push_back(work.usage);
+        work.report_at = now + report_interval;
     }
     return items;
 }
--- a/utilities/bench/agent_model.hpp
+++ b/utilities/bench/agent_model.hpp
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "budget_policy.hpp"
-
 #include <almondcart/budget/grant_recovery.hpp>
 #include <almondcart/budget/reservation.hpp>
 
@@ -11,6 +9,8 @@
 #include <set>
 #include <vector>
 
+#include "budget_policy.hpp"
+
 namespace almondcart::bench {
 
 /// Agent as far as budgets see it: grant fence, running work, usage kept until acknowledged.
@@ -32,14 +32,14 @@
 
     void acknowledge(request_id const& request) { unacknowledged_.erase(request); }
 
-    /// Usage of work that finished before `time` and that no router has acknowledged.
-    std::vector<usage_item> unacknowledged_before(instant time) const;
+    /// Usage that no router has acknowledged and that is due to be reported again.
+    std::vector<usage_item> usage_to_report();
 
 private:
     struct finished_work
     {
         usage_item usage;
-        instant at{};
+        instant report_at{};
     };
 
     int index_;
--- a/utilities/bench/append_per_request_policy.cpp
+++ b/utilities/bench/append_per_request_policy.cpp
@@ -1,8 +1,8 @@
-#include "budget_policy.hpp"
-
 #include <map>
 #include <set>
 
+#include "budget_policy.hpp"
+
 namespace almondcart::bench {
 
 namespace {
--- a/utilities/bench/budget_bench.cpp
+++ b/utilities/bench/budget_bench.cpp
@@ -1,7 +1,5 @@
 #include "budget_bench.hpp"
 
-#include "budget_policy.hpp"
-
 #include <fmt/format.h>
 #include <json/json.h>
 
@@ -11,6 +9,8 @@
 #include <iostream>
 #include <string>
 
+#include "budget_policy.hpp"
+
 namespace almondcart::bench {
 
 using namespace std::chrono_literals;
--- a/utilities/bench/budget_judge.hpp
+++ b/utilities/bench/budget_judge.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
-#include "budget_scenario.hpp"
-
 #include <cstdint>
 #include <map>
 #include <set>
 #include <vector>
 
+#include "budget_scenario.hpp"
+
 namespace almondcart::bench {
 
 /// Judges a policy from outside: sees the true totals and what really ran at the agents.
@@ -30,7 +30,10 @@
     token_count overspend() const;
     std::int64_t refusals() const { return refusals_; }
     std::int64_t false_refusals() const { return false_refusals_; }
-    std::int64_t false_refusals(std::size_t budget) const { return budgets_[budget].false_refusals; }
+    std::int64_t false_refusals(std::size_t budget) const
+    {
+        return budgets_[budget].false_refusals;
+    }
     token_count unspent(std::size_t budget) const;
 
 private:
--- a/utilities/bench/budget_log.cpp
+++ b/utilities/bench/budget_log.cpp
@@ -67,7 +67,8 @@
         answer_timeout,
         [self, call]
         {
-            if (auto client = self.lock(); client && client->call_ == call && !client->sent_.empty())
+            if (auto client = self.lock();
+                client && client->call_ == call && !client->sent_.empty())
                 client->send();
         });
 }
--- a/utilities/bench/budget_log.hpp
+++ b/utilities/bench/budget_log.hpp
@@ -1,7 +1,5 @@
 #pragma once
 
-#include "log_model.hpp"
-
 #include <almondcart/ledger/records.hpp>
 
 #include <array>
@@ -10,6 +8,8 @@
 #include <memory>
 #include <vector>
 
+#include "log_model.hpp"
+
 namespace almondcart::bench {
 
 /// Records of the budget streams, as the log keeps them.
--- a/utilities/bench/budget_policy.hpp
+++ b/utilities/bench/budget_policy.hpp
@@ -1,14 +1,14 @@
 #pragma once
 
+#include <memory>
+#include <string_view>
+#include <vector>
+
 #include "budget_judge.hpp"
 #include "event_queue.hpp"
 #include "fault_model.hpp"
 #include "log_model.hpp"
 
-#include <memory>
-#include <string_view>
-#include <vector>
-
 namespace almondcart::bench {
 
 /// What a policy under test works with.
--- a/utilities/bench/budget_scenario.cpp
+++ b/utilities/bench/budget_scenario.cpp
@@ -39,8 +39,8 @@
         scenario_.length = length;
         for (std::size_t n = 0; n < budget_count; ++n)
         {
-            auto const preference = n % 2 == 0 ? budget_preference::false_refusals
-                                               : budget_preference::overspend;
+            auto const preference =
+                n % 2 == 0 ? budget_preference::false_refusals : budget_preference::overspend;
             account_id const account{"sandshare", "account-" + std::to_string(n)};
             scenario_.budgets.push_back({{account, "season"}, preference, 0});
             rates_.push_back(requests_per_s * traffic_shares[n]);
@@ -182,11 +182,10 @@
 {
     std::vector<budget_scenario> scenarios;
     scenarios.push_back(trace_builder("steady", seed, routers, 20min).build(1.5));
-    scenarios.push_back(
-        trace_builder("burst", seed, routers, 20min)
-            .add_burst({0, 0, span_of(600s, 660s), 20})
-            .add_burst({3, routers - 1, span_of(700s, 760s), 20})
-            .build(1.5));
+    scenarios.push_back(trace_builder("burst", seed, routers, 20min)
+                            .add_burst({0, 0, span_of(600s, 660s), 20})
+                            .add_burst({3, routers - 1, span_of(700s, 760s), 20})
+                            .build(1.5));
     scenarios.push_back(
         trace_builder("busy_account", seed, routers, 15min).set_rate(0, 60).build(1.1));
     scenarios.push_back(trace_builder("nearly_empty", seed, routers, 15min).build(0.9));
--- a/utilities/bench/fault_model.cpp
+++ b/utilities/bench/fault_model.cpp
@@ -68,8 +68,7 @@
 
 bool fault_model::reaches_agent(int router, int agent) const
 {
-    auto const is_cut
-        = is_far_router(router) != is_far_agent(agent) && is_cut_at(queue_.now());
+    auto const is_cut = is_far_router(router) != is_far_agent(agent) && is_cut_at(queue_.now());
     return is_up(router) && !is_cut;
 }
 
@@ -114,8 +113,8 @@
 bool fault_model::is_dead(int router, process_id const& process) const
 {
     auto const peers = live_peers(router);
-    if (process == process_of(router)
-        || std::find(peers.begin(), peers.end(), process) != peers.end())
+    if (process == process_of(router) ||
+        std::find(peers.begin(), peers.end(), process) != peers.end())
         return false;
     for (int peer = 0; peer < scenario_.routers; ++peer)
     {
--- a/utilities/bench/fault_model.hpp
+++ b/utilities/bench/fault_model.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "budget_scenario.hpp"
-#include "event_queue.hpp"
-
 #include <almondcart/core/identifiers.hpp>
 
 #include <random>
 #include <vector>
 
+#include "budget_scenario.hpp"
+#include "event_queue.hpp"
+
 namespace almondcart::bench {
 
 /// Who is up and who reaches whom, by the scenario's faults and virtual time.
--- a/utilities/bench/log_model.hpp
+++ b/utilities/bench/log_model.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include "event_queue.hpp"
-#include "fault_model.hpp"
-
 #include <cstdint>
 #include <functional>
 
+#include "event_queue.hpp"
+#include "fault_model.hpp"
+
 namespace almondcart::bench {
 
 /// The platform's log: one append takes `service_time` of a single server, answers may be lost,
--- a/utilities/bench/product_policy.cpp
+++ b/utilities/bench/product_policy.cpp
@@ -1,10 +1,10 @@
+#include <algorithm>
+
 #include "agent_model.hpp"
 #include "budget_log.hpp"
 #include "budget_policy.hpp"
 #include "product_router.hpp"
 
-#include <algorithm>
-
 namespace almondcart::bench {
 
 namespace {
@@ -31,7 +31,7 @@
         for (int router = 0; router < world_.scenario.routers; ++router)
             start_router(router);
         for (auto const& agent : fleet_.agents)
-            world_.queue.every(duration(2000), [this, &agent] { report_usage(*agent); });
+            world_.queue.every(duration(10'000), [this, &agent] { report_usage(*agent); });
     }
 
     void arrive(trace_request const& request, int router) override
@@ -93,12 +93,11 @@
 
     void report_usage(agent_model& agent)
     {
-        auto const due = world_.queue.now() - duration(2000);
         for (auto const& router : fleet_.routers)
         {
             if (!router || !world_.faults.reaches_agent(router->index(), agent.index()))
                 continue;
-            auto items = agent.unacknowledged_before(due);
+            auto items = agent.usage_to_report();
             if (!items.empty())
                 router->report_usage(std::move(items));
             return;
--- a/utilities/bench/product_router.cpp
+++ b/utilities/bench/product_router.cpp
@@ -65,7 +65,8 @@
     return {
         [this] { return world_.queue.now(); },
         [this] { return world_.faults.live_peers(index_); },
-        [this](auto const& peer, auto const& transfer, auto const& budget, auto tokens, auto callback)
+        [this](
+            auto const& peer, auto const& transfer, auto const& budget, auto tokens, auto callback)
         { request_transfer(peer, transfer, budget, tokens, std::move(callback)); }};
 }
 
@@ -174,7 +175,7 @@
         auto const* request = shards_[std::size_t(shard)].find_request(item.request);
         if (request != nullptr && request->is_billed)
             acknowledge(item.request);
-        else
+        else if (!holder_.has_pending_usage(item.request) && reported_.insert(item.request).second)
             records[shard].items.push_back(std::move(item));
     }
     for (auto& [shard, record] : records)
@@ -249,7 +250,8 @@
         {
             auto const router = self.lock();
             if (router && router->world_.faults.reaches_agent(router->index_, agent))
-                router->later(hop, [it = router.get(), work, actual] { it->holder_.settle(work, actual); });
+                router->later(
+                    hop, [it = router.get(), work, actual] { it->holder_.settle(work, actual); });
         });
     if (!closed)
         return;
--- a/utilities/bench/product_router.hpp
+++ b/utilities/bench/product_router.hpp
@@ -1,9 +1,5 @@
 #pragma once
 
-#include "agent_model.hpp"
-#include "budget_log.hpp"
-#include "budget_policy.hpp"
-
 #include <almondcart/budget/budget_holder.hpp>
 #include <almondcart/budget/grant_recovery.hpp>
 #include <almondcart/budget/transfer_broker.hpp>
@@ -12,8 +8,13 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <vector>
 
+#include "agent_model.hpp"
+#include "budget_log.hpp"
+#include "budget_policy.hpp"
+
 namespace almondcart::bench {
 
 class product_router;
@@ -95,6 +96,7 @@
     transfer_broker broker_;
     grant_recovery recovery_;
     std::map<trace_request const*, int> waiting_;
+    std::set<request_id> reported_; ///< usage from agents, submitted
 };
 
 } // namespace almondcart::bench
--- a/utilities/bench/static_split_policy.cpp
+++ b/utilities/bench/static_split_policy.cpp
@@ -25,7 +25,8 @@
         // A restarted router does not know what its share has left, so it uses none of it, and the
         // load balancer avoids it.
         auto const n = world_.scenario.routers;
-        for (int tries = 0; tries < n && (lost_[std::size_t(router)] || !world_.faults.is_up(router));
+        for (int tries = 0;
+             tries < n && (lost_[std::size_t(router)] || !world_.faults.is_up(router));
              ++tries)
             router = (router + 1) % n;
         auto& share = routers_[std::size_t(router)][request.budget];
