--- a/libraries/routing/src/order_planner.cpp
+++ b/libraries/routing/src/order_planner.cpp
@@ -6,6 +6,13 @@
 
 namespace almondcart {
 
+namespace {
+
+/// Sums of fractions, such as ten times 0.1, end just below the whole number.
+constexpr double rounding = 1e-9;
+
+} // namespace
+
 std::string_view name_of(order_kind kind)
 {
     return kind == order_kind::load_model ? "load_model" : "set_role";
@@ -130,7 +137,7 @@
 
 bool order_planner::try_take_load()
 {
-    if (loads_ < 1)
+    if (loads_ < 1 - rounding)
         return false;
     loads_ -= 1;
     return true;
--- a/libraries/routing/src/retry_budget.cpp
+++ b/libraries/routing/src/retry_budget.cpp
@@ -6,6 +6,13 @@
 
 namespace almondcart {
 
+namespace {
+
+/// Sums of fractions, such as ten times 0.1, end just below the whole number.
+constexpr double rounding = 1e-9;
+
+} // namespace
+
 retry_budget::retry_budget(clock_function clock, retry_budget_settings settings)
     : clock_(std::move(clock))
     , settings_(settings)
@@ -24,7 +31,7 @@
     if (!attempt.is_idempotent || attempt.has_first_byte)
         return false;
     refill();
-    if (available_ < 1)
+    if (available_ < 1 - rounding)
         return false;
     available_ -= 1;
     return true;
--- a/utilities/bench/crash_fleet.cpp
+++ b/utilities/bench/crash_fleet.cpp
@@ -268,7 +268,7 @@
 
     auto const lost = std::exchange(agent.running, {});
     for (auto const& [id, it] : lost)
-        time_.after(message_time, [this, it, report] { handle_crash(it, report); });
+        time_.after(message_time, [this, it = it, report] { handle_crash(it, report); });
     auto const past = time_.now().since_epoch % heartbeat_period;
     auto const until_next = (agent.heartbeat_phase - past + heartbeat_period) % heartbeat_period;
     time_.after(
