--- a/services/agent/agent.cpp
+++ b/services/agent/agent.cpp
@@ -58,6 +58,7 @@
     , placements_(system_clock_source::create())
     , orders_(settings_, client_, fence_)
     , probe_(settings_, client_, monitor_)
+    , load_(settings_, client_)
     , routers_(
           settings_,
           rpc_client_,
@@ -103,8 +104,8 @@
 void agent::start_call(std::uint64_t call, dispatch const& work)
 {
     upstream_events events;
-    events.output = [this, call](std::string data, token_count tokens)
-    { gate_.add_output(call, std::move(data), tokens); };
+    events.output = [this, call](std::string const& data, token_count tokens)
+    { gate_.add_output(call, data, tokens); };
     events.finished = [this, call](upstream_answer answer)
     { gate_.finish(call, std::move(answer)); };
     events.failed = [this, call](std::string_view detail, call_failure failure)
@@ -136,6 +137,7 @@
     heartbeat.address = settings_.advertise;
     heartbeat.is_leaving = gate_.is_leaving();
     heartbeat.config_offset = configuration_.offset();
+    heartbeat.queue = load_.queued();
     heartbeat.running = gate_.running();
     heartbeat.free_slots = gate_.free_slots();
     heartbeat.is_suspect_running = monitor_.is_suspect_running();
@@ -214,6 +216,7 @@
     loop_->every(tick_interval, [this] { gate_.tick(); });
     loop_->every(tick_interval, [this] { end_stop_if_drained(); });
     loop_->every(settings_.heartbeat_interval, [this] { placements_.tick(); });
+    loop_->every(settings_.heartbeat_interval, [this] { load_.tick(); });
     loop_->every(settings_.probe_interval, [this] { probe_.tick(); });
     loop_->every(settings_.heartbeat_interval, [this] { routers_.send_heartbeats(); });
     loop_->every(settings_.heartbeat_interval, [this] { gauges_.update(); });
--- a/services/agent/agent.hpp
+++ b/services/agent/agent.hpp
@@ -16,6 +16,7 @@
 #include "agent_configuration.hpp"
 #include "agent_metrics.hpp"
 #include "agent_settings.hpp"
+#include "load_poller.hpp"
 #include "order_forwarder.hpp"
 #include "router_links.hpp"
 #include "rpc_methods.hpp"
@@ -66,6 +67,7 @@
     run_placements placements_;
     order_forwarder orders_;
     upstream_probe probe_;
+    load_poller load_;
     router_links routers_;
     metrics metrics_;
     agent_metrics gauges_;
--- a/services/agent/engine_client.cpp
+++ b/services/agent/engine_client.cpp
@@ -3,6 +3,8 @@
 #include <almondcart/core/json.hpp>
 
 #include <memory>
+#include <optional>
+#include <string>
 #include <utility>
 
 #include "engine_answer.hpp"
@@ -35,6 +37,7 @@
     auto request = create_upstream_request(
         work, settings_.upstream_address, settings_.first_byte_timeout, settings_.idle_timeout);
     request.headers.emplace_back("Accept", "text/event-stream");
+    request.headers.emplace_back("Priority", std::to_string(work.priority));
     // The router has parsed the body before; the engine answers a broken one with its own error.
     if (auto body = try_create_body(work))
         request.body = std::move(*body);
