--- a/services/agent/agent.cpp
+++ b/services/agent/agent.cpp
@@ -201,6 +201,7 @@
         placements_,
         rpc_methods::hooks{
             .config_offset = [this] { return configuration_.offset(); },
+            .is_blocked = [this](std::string const& it) { return configuration_.is_blocked(it); },
             .drain = [this] { begin_stop(); }});
     work_ = std::make_unique<work_endpoint>(*server_, gate_, journal_);
     metrics_.serve(*server_);
--- a/services/agent/rpc_methods.cpp
+++ b/services/agent/rpc_methods.cpp
@@ -163,6 +163,8 @@
     request.unusable = read_set(reader, "unusable");
     if (auto const status = reader.finish(); !status.ok())
         return status;
+    if (hooks_.is_blocked(request.fingerprint))
+        placements_.block(request.fingerprint);
     auto const placement = placements_.place(request);
     auto result = create_result();
     result["state"] = std::string(name_of(placement.state));
--- a/services/agent/rpc_methods.hpp
+++ b/services/agent/rpc_methods.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <string>
 
 #include "order_forwarder.hpp"
 
@@ -18,6 +19,7 @@
     struct hooks
     {
         std::function<std::int64_t()> config_offset;
+        std::function<bool(std::string const& fingerprint)> is_blocked;
         std::function<void()> drain; ///< starts a graceful stop
     };
 
