Log, Router: State the writer's logical time in records

The time line sorted a router's reaction to a record before the event that had appended it, because only messages between processes carried Lamport time. Ruled out: ordering by wall clock, which differs between VMs.

--- a/libraries/ledger/include/almondcart/ledger/records.hpp
+++ b/libraries/ledger/include/almondcart/ledger/records.hpp
@@ -169,6 +169,8 @@
     process_id writer;
     std::int64_t sequence = 0; ///< growing per writer, over all streams
     record_body body;
+    /// Lamport time of the writer, so that time lines order a reader's events after it. Not folded.
+    std::uint64_t logical_time = 0;
 };
 
 /// Record as read back from a stream.
--- a/libraries/ledger/src/records.cpp
+++ b/libraries/ledger/src/records.cpp
@@ -396,6 +396,8 @@
     value["type"] = std::string(type_name(record.body));
     value["writer"] = to_text(record.writer);
     value["sequence"] = Json::Int64(record.sequence);
+    if (record.logical_time > 0)
+        value["logical_time"] = Json::UInt64(record.logical_time);
     std::visit([&value](auto const& body) { write(body, value); }, record.body);
     return value;
 }
@@ -411,6 +413,8 @@
         log_record record;
         record.writer = read_process_id(reader, "writer");
         record.sequence = reader.integer("sequence", 0, number_limit);
+        record.logical_time =
+            static_cast<std::uint64_t>(reader.integer_or("logical_time", 0, number_limit, 0));
         record.body = body_readers.at(i)(reader);
         if (auto status = reader.finish(); !status.ok())
             return status;
--- a/libraries/log/include/almondcart/log/log_client.hpp
+++ b/libraries/log/include/almondcart/log/log_client.hpp
@@ -28,6 +28,8 @@
     log_call_function append;
     log_call_function read;
     clock_function now;
+    /// Lamport time to state in records. May be empty.
+    std::function<std::uint64_t()> logical_time = {};
 };
 
 struct log_client_settings
--- a/services/router/fleet_log.cpp
+++ b/services/router/fleet_log.cpp
@@ -22,9 +22,11 @@
     router_settings const& settings,
     process_id self,
     http_client& client,
+    event_journal& journal,
     fleet_fold& fold,
     std::function<bool(std::string const& stream)> writes_checkpoints)
     : checkpoint_interval_(settings.log_retention / checkpoints_per_retention)
+    , journal_(journal)
     , fold_(fold)
     , writes_checkpoints_(std::move(writes_checkpoints))
     , transport_(client, settings.log_address)
@@ -34,7 +36,8 @@
            { transport_.append(body, std::move(done)); },
            [this](Json::Value const& body, log_response_function done)
            { transport_.read(body, std::move(done)); },
-           system_clock_source::create()},
+           system_clock_source::create(),
+           [this] { return journal_.logical_time(); }},
           {.flush_interval = settings.flush_interval})
 {}
 
@@ -53,7 +56,10 @@
         return fold_.replace(stream, state);
     };
     subscriber.on_record = [this, stream](stored_record const& record)
-    { fold_.apply(stream, record); };
+    {
+        journal_.observe(record.record.logical_time);
+        fold_.apply(stream, record);
+    };
     subscriber.on_unparsed = [this, stream](std::int64_t offset, std::int64_t time_ms)
     {
         spdlog::warn("[log] Skipped the record at {} of {}: it cannot be parsed.", offset, stream);
--- a/services/router/fleet_log.hpp
+++ b/services/router/fleet_log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <almondcart/core/event_journal.hpp>
 #include <almondcart/http/http_client.hpp>
 #include <almondcart/log/log_client.hpp>
 
@@ -26,6 +27,7 @@
         router_settings const& settings,
         process_id self,
         http_client& client,
+        event_journal& journal,
         fleet_fold& fold,
         std::function<bool(std::string const& stream)> writes_checkpoints);
 
@@ -62,6 +64,7 @@
     bool is_checkpoint_due(std::string const& stream, instant now);
 
     duration checkpoint_interval_;
+    event_journal& journal_;
     fleet_fold& fold_;
     std::function<bool(std::string const&)> writes_checkpoints_;
     log_transport transport_;
--- a/services/router/idempotent_session.hpp
+++ b/services/router/idempotent_session.hpp
@@ -38,7 +38,6 @@
 
     std::string target_; ///< upstream chosen by the placement, or empty
     int refusals_ = 0;
-    bool runs_as_suspect_ = false;
 };
 
 } // namespace almondcart
--- a/services/router/request_session.cpp
+++ b/services/router/request_session.cpp
@@ -215,6 +215,7 @@
         work.started_ms = reservation_->started_ms;
     }
     work.kind = request_.kind.name;
+    work.is_suspect = runs_as_suspect_;
     work.is_idempotent = request_.kind.is_idempotent;
     work.prompt_tokens = request_.worst_case;
     if (request_.chat)
--- a/services/router/request_session.hpp
+++ b/services/router/request_session.hpp
@@ -97,7 +97,8 @@
     std::vector<std::string> avoid_;
     /// Some attempt may have run, here or in an earlier call, so that no refusal says "not run".
     bool may_have_run_ = false;
-    bool is_attached_ = false; ///< the current call attaches to work of another dispatch
+    bool runs_as_suspect_ = false; ///< it ran during a crash before
+    bool is_attached_ = false;     ///< the current call attaches to work of another dispatch
 
     void end();
 
--- a/services/router/router.cpp
+++ b/services/router/router.cpp
@@ -50,7 +50,7 @@
     , client_(*loop_)
     , rpc_(*loop_, client_, journal_)
     , rpc_server_(*control_, journal_)
-    , log_(settings_, self_, client_, fold_, [this](std::string const& stream) {
+    , log_(settings_, self_, client_, journal_, fold_, [this](std::string const& stream) {
         return members_.acts_first("checkpoint/" + stream);
     })
     , members_(
