--- a/utilities/bench/main.cpp
+++ b/utilities/bench/main.cpp
@@ -6,30 +6,58 @@
 #include <string>
 #include <string_view>
 
+#include "bench_options.hpp"
+#include "budget_bench.hpp"
 #include "routing_bench.hpp"
 
 namespace {
 
+using almondcart::bench_options;
+
 struct subcommand
 {
     std::string_view name;
-    int (*run)(std::uint64_t seed, bool is_json);
+    int (*run)(bench_options const& options);
 };
 
 constexpr std::array subcommands{
-    subcommand{"routing", almondcart::run_routing_bench},
+    subcommand{"budget", almondcart::run_budget_bench},
+    subcommand{
+        "routing",
+        [](bench_options const& it) { return almondcart::run_routing_bench(it.seed, it.is_json); }},
 };
 
+cxxopts::Options create_options()
+{
+    cxxopts::Options options("almondcart-bench", "Measures decisions in virtual time.");
+    options.positional_help("budget|routing");
+    auto add = options.add_options();
+    add("command", "what to measure", cxxopts::value<std::string>());
+    add("seed", "seed of the traces", cxxopts::value<std::uint64_t>()->default_value("1"));
+    add("json", "print JSON instead of a table");
+    add("routers", "budget: number of routers", cxxopts::value<int>()->default_value("3"));
+    add("scenario", "budget: only this one", cxxopts::value<std::string>()->default_value(""));
+    add("policy", "budget: only this one", cxxopts::value<std::string>()->default_value(""));
+    add("help", "print this help");
+    options.parse_positional({"command"});
+    return options;
+}
+
+bench_options read_options(cxxopts::ParseResult const& arguments)
+{
+    return {
+        arguments["seed"].as<std::uint64_t>(),
+        arguments.count("json") > 0,
+        arguments["routers"].as<int>(),
+        arguments["scenario"].as<std::string>(),
+        arguments["policy"].as<std::string>()};
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
-    cxxopts::Options options("almondcart-bench", "Measures decisions in virtual time.");
-    options.positional_help("routing");
-    options.add_options()("command", "what to measure", cxxopts::value<std::string>())(
-        "seed", "seed of the traces", cxxopts::value<std::uint64_t>()->default_value("1"))(
-        "json", "print JSON instead of a table")("help", "print this help");
-    options.parse_positional({"command"});
+    auto options = create_options();
     try
     {
         auto const arguments = options.parse(argc, argv);
@@ -42,7 +70,7 @@
         for (auto const& it : subcommands)
         {
             if (it.name == name)
-                return it.run(arguments["seed"].as<std::uint64_t>(), arguments.count("json") > 0);
+                return it.run(read_options(arguments));
         }
         std::cerr << "almondcart-bench: unknown command \"" << name << "\"\n";
     }
