--- a/libraries/budget/include/almondcart/budget/budget_holder.hpp
+++ b/libraries/budget/include/almondcart/budget/budget_holder.hpp
@@ -212,7 +212,7 @@
     budget_entry const* folded(budget_id const& id) const;
 
     void serve(budget_entry_state& it);
-    void grant_waiting(budget_entry_state& it, std::deque<waiting_entry>::iterator position);
+    void grant_waiting(budget_entry_state& it, std::deque<waiting_entry>::iterator const& position);
     void refuse(waiting_entry& waiting, result_code code, std::string_view detail);
     void expire_waiting(budget_entry_state& it, instant now);
     void deliver();
--- a/libraries/budget/include/almondcart/budget/grant_recovery.hpp
+++ b/libraries/budget/include/almondcart/budget/grant_recovery.hpp
@@ -112,7 +112,7 @@
     void back_off(agent_progress& progress, instant now) const;
     bool acts_first(grant_id const& grant) const;
     bool is_turn(grant_id const& grant, instant since, instant now) const;
-    void note(std::string name, grant_entry const& grant, std::string detail) const;
+    void note(std::string name, grant_entry const& grant, std::string const& detail) const;
 
     grant_recovery_settings settings_;
     hooks hooks_;
--- a/libraries/budget/include/almondcart/budget/transfer_id.hpp
+++ b/libraries/budget/include/almondcart/budget/transfer_id.hpp
@@ -18,7 +18,8 @@
     process_id receiver;
     std::int64_t number = 0;
 
-    friend auto operator<=>(transfer_id const&, transfer_id const&) = default;
+    friend bool operator==(transfer_id const&, transfer_id const&) = default;
+    friend std::strong_ordering operator<=>(transfer_id const&, transfer_id const&) = default;
 };
 
 std::string to_text(transfer_id const& id);
--- a/libraries/budget/src/budget_holder.cpp
+++ b/libraries/budget/src/budget_holder.cpp
@@ -138,7 +138,7 @@
 
 void budget_holder::grant_waiting(
     budget_entry_state& it,
-    std::deque<waiting_entry>::iterator position)
+    std::deque<waiting_entry>::iterator const& position)
 {
     auto waiting = std::move(*position);
     it.waiting.erase(position);
@@ -298,9 +298,8 @@
 
 transfer_id budget_holder::create_transfer(budget_id const& budget)
 {
-    transfer_id const id{settings_.self, next_transfer_++};
-    open_transfers_.emplace(id, budget);
-    return id;
+    auto const it = open_transfers_.emplace(transfer_id{settings_.self, next_transfer_++}, budget);
+    return it.first->first;
 }
 
 token_count
