Budget: Refill grants before they are half used

In log_outage 959 requests were refused although other routers or the log held tokens. Grants were refilled only below half of the target, so at the start of an outage routers held between half and all of what they needed for it.

Ruled out: a longer horizon; the target was capped by the share of what is unspent, not by the horizon.

Refill below 0.9 of the target (false_refusals) and 0.75 (overspend). Records are batched per flush, so appends hardly grow.

--- a/libraries/budget/src/grant_sizing.cpp
+++ b/libraries/budget/src/grant_sizing.cpp
@@ -10,8 +10,8 @@
 {
     // Both horizons cover a partition of one hour.
     if (preference == budget_preference::overspend)
-        return {1h, 0.6, 0.5, 1.5, 15s};
-    return {2h, 0.9, 0.5, 2.0, 60s};
+        return {1h, 0.6, 0.75, 1.5, 15s};
+    return {2h, 0.9, 0.9, 2.0, 60s};
 }
 
 token_count target_free(sizing_policy const& policy, sizing_input const& input)
