--- a/libraries/ledger/src/budget_shard_json.cpp
+++ b/libraries/ledger/src/budget_shard_json.cpp
@@ -119,6 +119,7 @@
     value["started_at"] = Json::Int64(entry.started_at);
     value["stopped_at"] = Json::Int64(entry.stopped_at);
     value["stopped_ms"] = Json::Int64(entry.stopped_ms);
+    value["drained"] = entry.is_drained;
     return value;
 }
 
@@ -130,6 +131,7 @@
     entry.started_at = reader.integer("started_at", 0, number_limit);
     entry.stopped_at = reader.integer("stopped_at", -1, number_limit);
     entry.stopped_ms = reader.integer("stopped_ms", -1, number_limit);
+    entry.is_drained = reader.boolean("drained");
     return entry;
 }
 
--- a/libraries/ledger/src/budget_shard_state.cpp
+++ b/libraries/ledger/src/budget_shard_state.cpp
@@ -82,7 +82,7 @@
     {
         bool const was_registered = entry.started_at < grant->closed_at;
         bool const was_running = entry.stopped_at < 0 || entry.stopped_at > id.offset;
-        if (was_registered && was_running && !grant->reports.contains(agent))
+        if (was_registered && was_running && !entry.is_drained && !grant->reports.contains(agent))
             required.push_back(agent);
     }
     return required;
@@ -415,7 +415,10 @@
     if (agent == nullptr || agent->stopped_at >= 0)
         ++refusals_.known_facts;
     else
+    {
         end_agent(*agent);
+        agent->is_drained = true;
+    }
 }
 
 void budget_shard_state::end_agent(agent_entry& agent)
