Tests: Run the built programs end to end

Cause: no test started the real processes; the path was only seen in meta/demo.sh.

Ruled out: fixed ports (other builds on the machine use them) and ephemeral ports (an outgoing connection may take one before its server starts). The blocking client is used instead of libraries/http, because tests must stop reading in the middle of a response and run next to each other without an event loop.

Change: tests/support starts routers, agents and stand-ins on free loopback ports, sends requests, signals processes, sets log faults and cuts connections with a forwarder. The engine stand-in counts executions under the request key that agents send.

--- /dev/null
+++ b/tests/support/child_process.hpp
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <sys/types.h>
+
+#include <string>
+#include <vector>
+
+namespace almondcart::test_support {
+
+/// Program started by the test runner; it is killed on destruction.
+class child_process
+{
+public:
+    /// Standard output and error go to `output_file`.
+    child_process(std::vector<std::string> const& command, std::string const& output_file);
+    child_process(child_process&& other) noexcept;
+    child_process& operator=(child_process&&) = delete;
+    ~child_process();
+
+    void send_signal(int signal) const;
+    /// Waits for the end. Returns the exit code, or the negative number of the signal that ended
+    /// it.
+    int wait();
+
+private:
+    pid_t id_ = -1;
+};
+
+} // namespace almondcart::test_support
--- /dev/null
+++ b/tests/support/expect.hpp
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+namespace almondcart::test_support {
+
+/// Throws when a check fails. An exception runs the destructors, which stop the fleet.
+void expect(bool is_met, std::string const& what);
+
+/// Polls a condition, and throws when it is not met within a limit that only a fault exceeds.
+void wait_until(std::string const& what, std::function<bool()> const& is_met);
+
+} // namespace almondcart::test_support
--- a/utilities/standins/engine/engine_standin.cpp
+++ b/utilities/standins/engine/engine_standin.cpp
@@ -136,7 +136,8 @@
     target->prompt_tokens = split_words(target->prompt).size();
     target->priority = static_cast<int>(integer_or(exchange->header("priority"), priority_default));
     target->arrival = next_id_++;
-    ++executions_[target->id];
+    std::string const key(exchange->header("idempotency-key"));
+    ++executions_[key.empty() ? target->id : key];
     if (generations_.size() >= generation_limit)
         std::erase_if(generations_, [](auto const& it) { return it.second->is_done(); });
     generations_[target->id] = target;
