--- a/libraries/http/src/server_core.cpp
+++ b/libraries/http/src/server_core.cpp
@@ -26,6 +26,14 @@
 /// sends a request on a connection that the server is closing.
 constexpr std::uint64_t request_timeout_ms = 60'000;
 
+/// Refusals carry the numbered code in this form; h2o refuses an oversized body before a handler
+/// is called.
+constexpr std::string_view problem_type = "application/problem+json";
+constexpr std::string_view body_too_large =
+    R"({"type":"urn:almondcart:body_too_large","title":"body_too_large","status":413,)"
+    R"("detail":"the body exceeds the limit of this server","code":1102,"name":"body_too_large",)"
+    R"("ran":"no"})";
+
 bool matches_prefix(std::string_view path, std::string_view prefix)
 {
     if (!path.starts_with(prefix))
@@ -38,6 +46,38 @@
     return text.base == nullptr ? std::string() : std::string(text.base, text.len);
 }
 
+/// Replaces the plain text with which h2o itself refuses an oversized body.
+void send_body_too_large(
+    h2o_ostream_t* self,
+    h2o_req_t* request,
+    h2o_iovec_t*,
+    std::size_t,
+    h2o_send_state_t state)
+{
+    auto body = h2o_iovec_init(body_too_large.data(), body_too_large.size());
+    h2o_ostream_send_next(self, request, &body, 1, state);
+}
+
+void replace_body_too_large(h2o_filter_t*, h2o_req_t* request, h2o_ostream_t** slot)
+{
+    constexpr int payload_too_large = 413;
+    if (request->res.status == payload_too_large)
+    {
+        request->res.content_length = body_too_large.size();
+        h2o_set_header(
+            &request->pool,
+            &request->res.headers,
+            H2O_TOKEN_CONTENT_TYPE,
+            problem_type.data(),
+            problem_type.size(),
+            1);
+        auto* const stream = h2o_add_ostream(request, sizeof(h2o_ostream_t), slot);
+        stream->do_send = send_body_too_large;
+        slot = &stream->next;
+    }
+    h2o_setup_next_ostream(request, slot);
+}
+
 } // namespace
 
 server_core::server_core(event_loop& loop, http_server_settings settings, socket_address address)
@@ -52,6 +92,9 @@
     configuration_.http1.upgrade_to_http2 = 0;
     auto* const host = h2o_config_register_host(
         &configuration_, h2o_iovec_init("default", std::strlen("default")), 65535);
+    // A request that h2o refuses itself is bound to no registered path.
+    h2o_create_filter(&host->fallback_path, sizeof(h2o_filter_t))->on_setup_ostream =
+        replace_body_too_large;
     auto* const path = h2o_config_register_path(host, "/", 0);
     auto* const handler =
         reinterpret_cast<request_handler*>(h2o_create_handler(path, sizeof(request_handler)));
