Router: Wait for a slot when the last upstream is full

Cause: two routers admit more together than the slots of the upstreams that are left. The agent refuses the surplus as overloaded; the router then avoids this upstream, has none left, and refused the caller 1303 although its deadline was far away.

Ruled out: clearing the list of avoided upstreams, which also holds those that were lost.

Change: a request that the last usable upstream refused as overloaded is placed again after 100 ms, until its deadline.

--- a/services/router/idempotent_session.cpp
+++ b/services/router/idempotent_session.cpp
@@ -13,6 +13,7 @@
 constexpr duration placement_timeout{500};
 constexpr duration look_up_timeout{500};
 constexpr duration suspect_poll{100};
+constexpr duration busy_poll{100};
 constexpr duration no_upstream_retry{1'000};
 
 /// Agents report a crash with the next heartbeat, which is sent each second.
@@ -209,6 +210,22 @@
 void idempotent_session::attempt_refused(work_refusal const& refused)
 {
     finish_suspect(suspect_result::not_run);
+    if (refused.code == result_code::overloaded && !has_deadline_passed())
+    {
+        selection_request others;
+        if (request_.chat)
+            others = {request_.chat->prefix, request_.chat->model, {}, {}};
+        others.avoid = avoid_;
+        others.avoid.push_back(upstream_);
+        if (!pool_->selector().select(others))
+        {
+            // The routers together sent more than the slots of the last upstream; it has room again
+            // when one of its requests ends.
+            ++attempt_;
+            after(busy_poll, [this] { place(); });
+            return;
+        }
+    }
     if (++refusals_ > refusal_limit)
     {
         refuse(make_refusal(
