Router, Agent: Keep requests beside a crash suspect unsuspected

Cause: a request that ran beside a crashing one was refused 1304 when its caller retried. Three faults together: dispatches did not state that a request runs as a suspect, so agents could not tell it from those beside it; an agent counted a crash against all requests of its own notice, while routers count only the known suspect; and the home agent refuses a suspect when the router proposes the upstream that it crashed, which a router does that has not heard of the crash yet.

Change: dispatches state it; the agent applies the routers' rule; a router proposes no upstream that the request crashed, and places again when the home agent tells it of such a crash.

--- a/services/agent/agent.cpp
+++ b/services/agent/agent.cpp
@@ -4,6 +4,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "engine_client.hpp"
@@ -125,8 +126,14 @@
     entry.upstream = settings_.upstream;
     entry.detail = std::to_string(notice.requests.size()) + " requests ran";
     journal_.record(std::move(entry));
+    // Routers do not suspect the requests that ran beside a known suspect either.
+    bool const has_suspect = std::ranges::any_of(
+        notice.requests, [](crashed_request const& it) { return it.ran_as_suspect; });
     for (auto const& request : notice.requests)
-        placements_.add_crashes(request.fingerprint, {{notice.crash, settings_.upstream}});
+    {
+        if (request.ran_as_suspect || !has_suspect)
+            placements_.add_crashes(request.fingerprint, {{notice.crash, settings_.upstream}});
+    }
 }
 
 agent_heartbeat agent::create_heartbeat() const
--- a/services/router/idempotent_session.cpp
+++ b/services/router/idempotent_session.cpp
@@ -79,7 +79,10 @@
         prefix,
         request_.chat->model,
         [this](std::string const& upstream) { return context_.members.is_reachable(upstream); });
-    auto const proposed = selector.select({prefix, request_.chat->model, {}, avoid_});
+    // The home agent refuses a suspect for which only an upstream is proposed that it crashed.
+    auto avoid = context_.suspects.crashed_upstreams(request_.fingerprint);
+    avoid.insert(avoid.end(), avoid_.begin(), avoid_.end());
+    auto const proposed = selector.select({prefix, request_.chat->model, {}, avoid});
     auto const* member = home ? context_.members.find_upstream(*home) : nullptr;
     if (member == nullptr || !proposed)
     {
@@ -114,7 +117,16 @@
         auto const& placement = *result;
         auto const crashes = parse_crash_set(placement["crashes"]);
         context_.suspects.add(request_.fingerprint, crashes);
-        if (placement["state"].asString() == "refused" || is_blocked())
+        auto const crashed = context_.suspects.crashed_upstreams(request_.fingerprint);
+        bool const is_refused = placement["state"].asString() == "refused";
+        if (is_refused && !is_blocked() && std::ranges::find(crashed, target_) != crashed.end())
+        {
+            // The home agent knew of a crash that this router had not heard of.
+            may_have_run_ = true;
+            place();
+            return;
+        }
+        if (is_refused || is_blocked())
         {
             may_have_run_ = may_have_run_ || !crashes.empty();
             refuse_blocked();
--- a/services/router/request_session.cpp
+++ b/services/router/request_session.cpp
@@ -232,6 +232,8 @@
     work.content_type = request_.message.content_type;
     work.body = request_.message.body;
     work.fingerprint = request_.fingerprint;
+    // Tells the agent that a crash is not due to the requests that run beside this one.
+    work.is_suspect = context_.suspects.check(request_.fingerprint) == suspicion::suspect;
     work.intent_offset = intent_offset;
     work.config_offset = context_.fold.configuration().offset();
     work.from_frame = next_frame_;
--- a/tests/end_to_end_failures.cpp
+++ b/tests/end_to_end_failures.cpp
@@ -107,6 +107,26 @@
     return options;
 }
 
+fleet_options crashing_engines()
+{
+    fleet_options options;
+    options.engines = 4;
+    options.engine_arguments = {
+        "--token-interval-ms", "20", "--crash-marker", "CRASH", "--restart-ms", "500"};
+    return options;
+}
+
+/// Sends a crashing request through both routers, with several keys at once.
+void crash(fleet const& it)
+{
+    std::vector<pending_response> pending;
+    for (int n = 0; n < 6; ++n)
+        pending.push_back(
+            begin(it, 1 + n % 2, it.chat("CRASH please", "crash-key-" + std::to_string(n), 16)));
+    for (auto& response : pending)
+        expect(response.get().status != 200, "no answer to the crashing request");
+}
+
 constexpr int long_answer = 40;
 
 } // namespace
@@ -413,18 +433,8 @@
 // Guards against one request that brings down upstream after upstream as its caller retries.
 Test(end_to_end_failures, crashing_request)
 {
-    fleet_options options;
-    options.engines = 4;
-    options.engine_arguments = {
-        "--token-interval-ms", "20", "--crash-marker", "CRASH", "--restart-ms", "500"};
-    fleet it(options);
-    auto innocent = begin_chats(it, 1, "innocent", 6);
-    std::vector<pending_response> crashing;
-    for (int n = 0; n < 6; ++n)
-        crashing.push_back(
-            begin(it, 1 + n % 2, it.chat("CRASH please", "crash-key-" + std::to_string(n), 16)));
-    for (auto& pending : crashing)
-        expect(pending.get().status != 200, "no answer to the crashing request");
+    fleet it(crashing_engines());
+    crash(it);
     for (int n = 0; n < 6; ++n)
     {
         auto const response =
@@ -432,12 +442,22 @@
         expect(response.status != 200, "no answer to its retries");
     }
     int crashes = 0;
-    for (int n = 1; n <= options.engines; ++n)
+    for (int n = 1; n <= 4; ++n)
         crashes += it.stats("engine-" + std::to_string(n))["crashes"].asInt();
     expect(crashes <= 2, "at most two crashes, got " + std::to_string(crashes));
+    auto other = begin_chats(it, 2, "other", 4);
+    expect(collect(other).answered == 4, "answers to other requests");
+}
+
+// Guards I3 against requests that are refused because they ran beside a crashing one. Their callers
+// retry with their keys.
+Test(end_to_end_failures, requests_beside_crash)
+{
+    fleet it(crashing_engines());
+    auto innocent = begin_chats(it, 1, "innocent", 6);
+    crash(it);
     for (std::size_t n = 0; n < innocent.size(); ++n)
     {
-        // A caller whose request was lost retries with its key.
         auto const text = std::to_string(n);
         auto response = innocent[n].get();
         if (response.status != 200)
