--- a/services/agent/agent.cpp
+++ b/services/agent/agent.cpp
@@ -126,13 +126,12 @@
     entry.upstream = settings_.upstream;
     entry.detail = std::to_string(notice.requests.size()) + " requests ran";
     journal_.record(std::move(entry));
-    bool const has_culprit = std::any_of(
-        notice.requests.begin(),
-        notice.requests.end(),
-        [](auto const& it) { return it.ran_as_suspect; });
+    // Routers do not suspect the requests that ran beside a known suspect either.
+    bool const has_suspect = std::ranges::any_of(
+        notice.requests, [](crashed_request const& it) { return it.ran_as_suspect; });
     for (auto const& request : notice.requests)
     {
-        if (request.ran_as_suspect || !has_culprit)
+        if (request.ran_as_suspect || !has_suspect)
             placements_.add_crashes(request.fingerprint, {{notice.crash, settings_.upstream}});
     }
 }
--- a/services/router/idempotent_session.cpp
+++ b/services/router/idempotent_session.cpp
@@ -13,6 +13,7 @@
 constexpr duration placement_timeout{500};
 constexpr duration look_up_timeout{500};
 constexpr duration suspect_poll{100};
+constexpr duration busy_poll{100};
 constexpr duration no_upstream_retry{1'000};
 
 /// Agents report a crash with the next heartbeat, which is sent each second.
@@ -78,7 +79,10 @@
         prefix,
         request_.chat->model,
         [this](std::string const& upstream) { return context_.members.is_reachable(upstream); });
-    auto const proposed = selector.select({prefix, request_.chat->model, {}, avoid_});
+    // The home agent refuses a suspect for which only an upstream is proposed that it crashed.
+    auto avoid = context_.suspects.crashed_upstreams(request_.fingerprint);
+    avoid.insert(avoid.end(), avoid_.begin(), avoid_.end());
+    auto const proposed = selector.select({prefix, request_.chat->model, {}, avoid});
     auto const* member = home ? context_.members.find_upstream(*home) : nullptr;
     if (member == nullptr || !proposed)
     {
@@ -113,7 +117,16 @@
         auto const& placement = *result;
         auto const crashes = parse_crash_set(placement["crashes"]);
         context_.suspects.add(request_.fingerprint, crashes);
-        if (placement["state"].asString() == "refused" || is_blocked())
+        auto const crashed = context_.suspects.crashed_upstreams(request_.fingerprint);
+        bool const is_refused = placement["state"].asString() == "refused";
+        if (is_refused && !is_blocked() && std::ranges::find(crashed, target_) != crashed.end())
+        {
+            // The home agent knew of a crash that this router had not heard of.
+            may_have_run_ = true;
+            place();
+            return;
+        }
+        if (is_refused || is_blocked())
         {
             may_have_run_ = may_have_run_ || !crashes.empty();
             refuse_blocked();
@@ -222,6 +235,22 @@
 void idempotent_session::attempt_refused(work_refusal const& refused)
 {
     finish_suspect(suspect_result::not_run);
+    if (refused.code == result_code::overloaded && !has_deadline_passed())
+    {
+        selection_request others;
+        if (request_.chat)
+            others = {request_.chat->prefix, request_.chat->model, {}, {}};
+        others.avoid = avoid_;
+        others.avoid.push_back(upstream_);
+        if (!pool_->selector().select(others))
+        {
+            // The routers together sent more than the slots of the last upstream; it has room again
+            // when one of its requests ends.
+            ++attempt_;
+            after(busy_poll, [this] { place(); });
+            return;
+        }
+    }
     if (++refusals_ > refusal_limit)
     {
         refuse(make_refusal(
--- a/services/router/request_session.cpp
+++ b/services/router/request_session.cpp
@@ -233,6 +233,8 @@
     work.content_type = request_.message.content_type;
     work.body = request_.message.body;
     work.fingerprint = request_.fingerprint;
+    // Tells the agent that a crash is not due to the requests that run beside this one.
+    work.is_suspect = context_.suspects.check(request_.fingerprint) == suspicion::suspect;
     work.intent_offset = intent_offset;
     work.config_offset = context_.fold.configuration().offset();
     work.from_frame = next_frame_;
@@ -433,7 +435,9 @@
 {
     if (is_ended_)
         return;
-    if (may_have_run_ && refused.ran == ran_state::no)
+    // Under a reused key only the earlier request may have run, never this one.
+    bool const is_key_reused = refused.code == result_code::request_key_reused;
+    if (may_have_run_ && refused.ran == ran_state::no && !is_key_reused)
         refused.ran = ran_state::unknown;
     note("request_refused", std::string(name_of(refused.code)) + ": " + refused.detail);
     spdlog::info(
