Bench: Add capacity slopes

Cause: docs/CAPACITY.md needs state, message and processor costs that are measured and not guessed. Ruled out: resident memory differences, which move in pages and keep freed memory; the heap counters of the C library are exact per step. Before: no figures.

--- /dev/null
+++ b/utilities/bench/capacity_probe.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <json/json.h>
+
+#include <cstdint>
+
+namespace almondcart::bench {
+
+/// Bytes that this process has allocated from the heap.
+std::int64_t allocated_bytes();
+
+/// Processor time of the calling thread, in nanoseconds.
+std::int64_t thread_cpu_ns();
+
+/// Cores and memory of the machine.
+Json::Value machine_json();
+
+/// Heap and processor time used since construction.
+class capacity_probe
+{
+public:
+    capacity_probe()
+        : bytes_(allocated_bytes())
+        , cpu_ns_(thread_cpu_ns())
+    {}
+
+    std::int64_t bytes() const { return allocated_bytes() - bytes_; }
+    std::int64_t cpu_ns() const { return thread_cpu_ns() - cpu_ns_; }
+
+private:
+    std::int64_t bytes_;
+    std::int64_t cpu_ns_;
+};
+
+} // namespace almondcart::bench
--- a/utilities/bench/main.cpp
+++ b/utilities/bench/main.cpp
@@ -8,6 +8,7 @@
 
 #include "bench_options.hpp"
 #include "budget_bench.hpp"
+#include "capacity_bench.hpp"
 #include "routing_bench.hpp"
 
 namespace {
@@ -22,6 +23,7 @@
 
 constexpr std::array subcommands{
     subcommand{"budget", almondcart::run_budget_bench},
+    subcommand{"capacity", almondcart::run_capacity_bench},
     subcommand{
         "routing",
         [](bench_options const& it) { return almondcart::run_routing_bench(it.seed, it.is_json); }},
@@ -30,7 +32,7 @@
 cxxopts::Options create_options()
 {
     cxxopts::Options options("almondcart-bench", "Measures decisions in virtual time.");
-    options.positional_help("budget|routing");
+    options.positional_help("budget|routing|capacity");
     auto add = options.add_options();
     add("command", "what to measure", cxxopts::value<std::string>());
     add("seed", "seed of the traces", cxxopts::value<std::uint64_t>()->default_value("1"));
