--- a/utilities/bench/capacity_router.cpp
+++ b/utilities/bench/capacity_router.cpp
@@ -120,6 +120,14 @@
     costs_.log_ns += probe.cpu_ns();
 }
 
+std::size_t capacity_router::open_grants() const
+{
+    std::size_t count = 0;
+    for (auto const& shard : shards_)
+        count += shard.grants().size();
+    return count;
+}
+
 void capacity_router::arrive(request_id const& request, budget_id const& budget)
 {
     capacity_probe const probe;
--- a/utilities/bench/capacity_router.hpp
+++ b/utilities/bench/capacity_router.hpp
@@ -5,6 +5,7 @@
 #include <almondcart/ledger/configuration_state.hpp>
 #include <almondcart/log/log_client.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -42,6 +43,9 @@
     /// Reserves, runs for a second and settles.
     void arrive(request_id const& request, budget_id const& budget);
 
+    /// Grants of all routers that are open or closed in this router's folds.
+    std::size_t open_grants() const;
+
     bool has_caught_up() const { return client_.has_caught_up(); }
     router_costs const& costs() const { return costs_; }
     log_client_counters const& counters() const { return client_.counters(); }
