--- a/utilities/bench/capacity_configuration.cpp
+++ b/utilities/bench/capacity_configuration.cpp
@@ -61,7 +61,7 @@
     {
         Json::Value account;
         account["name"] = sample_budget(n).account.account;
-        account["key_sha256"].append(sample_fingerprint(2 * n) + sample_fingerprint(2 * n + 1));
+        account["key_sha256"].append(sample_fingerprint(n) + sample_fingerprint(n + budgets));
         document["client_accounts"].append(account);
     }
     document["kinds"].append(create_kind());
--- a/utilities/bench/capacity_control.cpp
+++ b/utilities/bench/capacity_control.cpp
@@ -57,10 +57,13 @@
     manual_clock clock;
     membership members(sample_router(0), clock.function(), {});
     std::vector<std::string> beats;
+    beats.reserve(std::size_t(agents));
     for (int n = 0; n < agents; ++n)
         beats.push_back(to_compact_json(create_heartbeat_call(n)));
     std::vector<std::string> calls;
     std::vector<std::string> results;
+    calls.reserve(std::size_t(routers));
+    results.reserve(std::size_t(routers));
     for (int n = 1; n < routers; ++n)
     {
         calls.push_back(to_compact_json(create_peer_heartbeat_call(n)));
