Bench: Start the requests of the capacity routers one by one

Cause: routers that wait for an empty log all caught up with the first append, and then appended within 200 ms of each other, so that one read returned the records of many appends. Change: requests start after every router has caught up, spread over the flush interval.

--- a/utilities/bench/capacity_fleet.cpp
+++ b/utilities/bench/capacity_fleet.cpp
@@ -49,9 +49,10 @@
         for (std::size_t n = 0; n < routers_.size(); ++n)
         {
             // Spread over the flush interval, as processes that started at different times are.
+            // The first append ends the long polls of all routers, so their requests start later.
             auto const start = duration(std::int64_t(n * 1'000 / routers_.size()));
             time_.every(start, tick_interval, [it = routers_[n].get()] { it->tick(); });
-            schedule_arrival(*routers_[n], start + 500ms);
+            schedule_arrival(*routers_[n], start + 2'500ms);
         }
         time_.run_until(instant{warm_up_});
         auto const before = totals();
