--- a/services/router/control_service.cpp
+++ b/services/router/control_service.cpp
@@ -104,7 +104,7 @@
         crash.upstream = beat.upstream;
         crash.agent = to_text(beat.agent);
         for (auto const& it : notice.requests)
-            crash.requests.push_back({to_text(it.request), it.fingerprint, false});
+            crash.requests.push_back({to_text(it.request), it.fingerprint, it.ran_as_suspect});
         context_.suspects.apply(crash);
     }
 }
@@ -213,10 +213,7 @@
 
 control_service::result control_service::clear_fingerprint(Json::Value const& params)
 {
-    std::set<std::string> crashes;
-    for (auto const& crash : params["crashes"])
-        crashes.insert(crash.asString());
-    context_.suspects.clear(params["fingerprint"].asString(), crashes);
+    context_.suspects.clear(params["fingerprint"].asString(), parse_crash_set(params["crashes"]));
     return Json::Value(Json::objectValue);
 }
 
