Ledger: Keep intents and outcomes outside the request entries

Plan: the worst line of docs/CAPACITY.md is the memory of request keys, 830 B each. The cheapest step is the entry itself; hashed keys and a shorter window change rules of the fold and are left out. Cause: each entry held space for an intent and an outcome, which only non-idempotent work has. Ruled out: a second map for non-idempotent requests, which every rule would have to keep in step. Change: both are shared immutable objects, created when there is one. No rule of the fold changes. The capacity bench also follows the new hook of the crash monitor. Before: the size test failed.

--- a/libraries/ledger/include/almondcart/ledger/budget_shard_state.hpp
+++ b/libraries/ledger/include/almondcart/ledger/budget_shard_state.hpp
@@ -8,7 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <optional>
+#include <memory>
 #include <set>
 #include <string>
 #include <utility>
@@ -56,17 +56,19 @@
     token_count unallocated() const { return total > charged ? total - charged : 0; }
 };
 
-/// Request as folded from the log, kept for the request key window.
+/// Request as folded from the log, kept for the request key window. Intent and outcome lie outside
+/// the entry, because nearly all entries are of idempotent work, which has neither. They are
+/// immutable, so copies of the state may share them.
 struct request_entry
 {
     bool is_billed = false;
     std::int64_t billed_offset = -1;
     token_count billed_tokens = 0;
-    std::optional<intent_record> intent; ///< current attempt
+    std::shared_ptr<intent_record const> intent; ///< current attempt, or null
     std::int64_t intent_offset = -1;
-    int voided_attempts = 0; ///< attempts 1 to n were voided
-    std::optional<outcome_record> outcome;
-    std::int64_t last_time_ms = 0; ///< log time of the last record
+    int voided_attempts = 0;                       ///< attempts 1 to n were voided
+    std::shared_ptr<outcome_record const> outcome; ///< null until there is one
+    std::int64_t last_time_ms = 0;                 ///< log time of the last record
 };
 
 /// Agent incarnation registered on this shard.
--- a/libraries/ledger/src/budget_shard_json.cpp
+++ b/libraries/ledger/src/budget_shard_json.cpp
@@ -198,7 +198,7 @@
     intent.fingerprint = reader.string("fingerprint");
     intent.started_ms = reader.integer("started_ms", 0, number_limit);
     entry.intent_offset = reader.integer("offset", 0, number_limit);
-    entry.intent = std::move(intent);
+    entry.intent = std::make_shared<intent_record const>(std::move(intent));
 }
 
 void read_outcome(json_reader& reader, request_id const& id, request_entry& entry)
@@ -214,7 +214,7 @@
     outcome.status = read_int(reader, "status");
     outcome.content_type = reader.string("content_type");
     outcome.body = reader.string("body");
-    entry.outcome = std::move(outcome);
+    entry.outcome = std::make_shared<outcome_record const>(std::move(outcome));
 }
 
 request_entry read_request_entry(json_reader& reader, request_id const& id)
--- a/libraries/ledger/src/budget_shard_state.cpp
+++ b/libraries/ledger/src/budget_shard_state.cpp
@@ -447,7 +447,7 @@
         return;
     }
     request_entry& request = requests_[body.request];
-    request.intent = body;
+    request.intent = std::make_shared<intent_record const>(body);
     request.intent_offset = offset_;
     touch(body.request, request);
 }
@@ -482,7 +482,7 @@
         ++refusals_.known_facts;
         return;
     }
-    request->outcome = body;
+    request->outcome = std::make_shared<outcome_record const>(body);
     touch(body.request, *request);
 }
 
--- a/tests/ledger.cpp
+++ b/tests/ledger.cpp
@@ -649,6 +649,30 @@
     cr_assert_eq(log.fold.find_request(request(1))->intent->attempt, 1);
 }
 
+// Guards against routers that run out of memory: almost all request keys are of idempotent work,
+// and space for an intent and an outcome in each of them doubled the memory of the keys.
+Test(budget_shard, billed_request_keys_hold_no_space_for_intents)
+{
+    cr_assert_leq(sizeof(request_entry), 96U, "request_entry has %zu bytes", sizeof(request_entry));
+}
+
+// Guards against a copy of the state, as a snapshot holds it, that changes with later records.
+Test(budget_shard, copies_keep_their_intents_and_outcomes)
+{
+    stream log = create_stream(100);
+    outcome_record outcome{request(1), 1, outcome_state::unknown, 200, "text/plain", ""};
+    log.append(router(1), intent_record{request(1), 1, agent(1, 1), "f", log.time_ms});
+    log.append(router(1), outcome);
+    budget_shard_state const copy = log.fold;
+    auto const before = copy.to_json();
+    outcome.state = outcome_state::completed;
+    outcome.body = "answer";
+    log.append(router(1), outcome);
+    cr_assert_eq(log.fold.find_request(request(1))->outcome->body, "answer");
+    cr_assert(copy.find_request(request(1))->outcome->state == outcome_state::unknown);
+    cr_assert(copy.to_json() == before);
+}
+
 // Guards against a key that is forgotten a day after its first record instead of its last.
 Test(budget_shard, each_record_extends_the_key)
 {
--- a/utilities/bench/capacity_gate.cpp
+++ b/utilities/bench/capacity_gate.cpp
@@ -43,7 +43,7 @@
 Json::Value measure_gate()
 {
     manual_clock clock;
-    upstream_crash_monitor monitor({clock.function(), [] { return std::string("crash"); }});
+    upstream_crash_monitor monitor({clock.function(), [] { return std::string("crash"); }, {}});
     std::vector<std::uint64_t> calls;
     std::size_t sent_bytes = 0;
     work_gate::limits limits;
