--- a/libraries/ledger/include/almondcart/ledger/budget_shard_state.hpp
+++ b/libraries/ledger/include/almondcart/ledger/budget_shard_state.hpp
@@ -79,6 +79,8 @@
     std::int64_t started_at = -1; ///< offset of agent_start
     std::int64_t stopped_at = -1; ///< offset of agent_stop or of a newer start, -1 while running
     std::int64_t stopped_ms = -1; ///< log time of `stopped_at`
+    /// It ended by agent_stop: everything that ran on it is billed, so that no report is needed.
+    bool is_drained = false;
 };
 
 /// Counters of records that the fold refused; each should stay 0 but for the named races.
--- a/services/router/front_end.cpp
+++ b/services/router/front_end.cpp
@@ -36,8 +36,13 @@
 
 } // namespace
 
-front_end::front_end(router_context& context, http_server& server, std::function<bool()> is_ready)
+front_end::front_end(
+    router_context& context,
+    http_server& server,
+    std::size_t body_limit_bytes,
+    std::function<bool()> is_ready)
     : context_(context)
+    , body_limit_bytes_(body_limit_bytes)
     , is_ready_(std::move(is_ready))
 {
     auto const handle = [this](std::shared_ptr<http_exchange> const& exchange) { serve(exchange); };
@@ -60,6 +65,16 @@
             std::string(exchange->header("Idempotency-Key")));
         return;
     }
+    if (exchange->body().size() > body_limit_bytes_)
+    {
+        send_problem(
+            *exchange,
+            make_refusal(
+                result_code::body_too_large,
+                "the body is larger than " + std::to_string(body_limit_bytes_) + " bytes"),
+            std::string(exchange->header("Idempotency-Key")));
+        return;
+    }
     auto request = caller_request::create(read_message(*exchange), context_.fold.configuration());
     if (!request.ok())
     {
--- a/services/router/router.cpp
+++ b/services/router/router.cpp
@@ -17,6 +17,14 @@
 constexpr duration transfer_timeout{1'000};
 constexpr duration close_grant_timeout{2'000};
 constexpr duration notify_timeout{1'000};
+/// Bodies above the limit are refused with a numbered code; far larger ones by the HTTP library,
+/// before they are in memory.
+constexpr std::size_t hard_limit_factor = 8;
+
+/// Budgets with metrics of their own; the rest is seen in `/status`, because each label value costs
+/// memory here and in the metrics store.
+constexpr std::size_t budget_label_limit = 200;
+
 constexpr int http_ok = 200;
 constexpr int http_unavailable = 503;
 
@@ -26,7 +34,8 @@
 {
     auto loop = std::make_unique<event_loop>();
     auto callers = http_server::create(
-        *loop, {settings.listen, static_cast<std::size_t>(settings.body_limit_bytes)});
+        *loop,
+        {settings.listen, static_cast<std::size_t>(settings.body_limit_bytes) * hard_limit_factor});
     if (!callers.ok())
         return callers.status();
     auto control = http_server::create(*loop, {settings.peer_listen});
@@ -50,7 +59,7 @@
     , client_(*loop_)
     , rpc_(*loop_, client_, journal_)
     , rpc_server_(*control_, journal_)
-    , log_(settings_, self_, client_, fold_, [this](std::string const& stream) {
+    , log_(settings_, self_, client_, journal_, fold_, [this](std::string const& stream) {
         return members_.acts_first("checkpoint/" + stream);
     })
     , members_(
@@ -98,7 +107,11 @@
           rpc_,
           create_peer_hooks())
     , publisher_(self_, fold_, *loop_, context_.submit)
-    , front_end_(context_, *callers_, [this] { return log_.has_caught_up(); })
+    , front_end_(
+          context_,
+          *callers_,
+          static_cast<std::size_t>(settings_.body_limit_bytes),
+          [this] { return log_.has_caught_up(); })
     , status_(context_, agents_, recovery_, create_status_sources())
     , control_service_(
           context_,
@@ -439,18 +452,40 @@
         "Closed grants that wait for agents.",
         static_cast<double>(recovery_.waiting().size()));
     set("almondcart_retries_available", "Retries that could be taken now.", retries_.available());
+    token_count stranded = 0;
+    for (auto const& it : recovery_.waiting())
+        stranded += it.unbilled;
+    set("almondcart_stranded_tokens",
+        "Tokens of closed grants that no router can spend.",
+        static_cast<double>(stranded));
+    std::size_t labelled = 0;
     for (int n = 0; n < budget_shard_count; ++n)
     {
         for (auto const& [id, entry] : fold_.shard(n).budgets())
         {
-            prometheus::Labels const labels = {{"budget", to_text(id)}};
-            auto const gauge = [this, &labels](char const* name, char const* help, token_count n)
-            { metrics_.gauge(name, help, labels).Set(static_cast<double>(n)); };
-            gauge("almondcart_budget_total_tokens", "Prepaid tokens.", entry.total);
-            gauge("almondcart_budget_billed_tokens", "Billed tokens.", entry.billed);
-            gauge("almondcart_budget_charged_tokens", "Granted or billed tokens.", entry.charged);
+            if (labelled++ < budget_label_limit)
+                update_budget_metrics(entry);
         }
     }
+    set("almondcart_budgets", "Budgets known to this router.", static_cast<double>(labelled));
+}
+
+void router::update_budget_metrics(budget_entry const& entry)
+{
+    prometheus::Labels const labels = {{"budget", to_text(entry.id)}};
+    auto const set = [this, &labels](char const* name, char const* help, token_count n)
+    { metrics_.gauge(name, help, labels).Set(static_cast<double>(n)); };
+    set("almondcart_budget_total_tokens", "Prepaid tokens.", entry.total);
+    set("almondcart_budget_billed_tokens", "Billed tokens.", entry.billed);
+    set("almondcart_budget_charged_tokens", "Granted or billed tokens.", entry.charged);
+    auto const* account = holder_.find_account(entry.id);
+    if (account == nullptr)
+        return;
+    token_count reserved = 0;
+    for (auto const& [grant, part] : account->grants())
+        reserved += part.reserved;
+    set("almondcart_budget_free_tokens", "Granted to this router and free.", account->free());
+    set("almondcart_budget_reserved_tokens", "Reserved by attempts of this router.", reserved);
 }
 
 void router::tick()
--- a/services/router/router.hpp
+++ b/services/router/router.hpp
@@ -72,6 +72,7 @@
     void fingerprint_cleared(std::string const& fingerprint, crash_set const& crashes);
     void serve_pages(http_server& server);
     void update_metrics();
+    void update_budget_metrics(budget_entry const& entry);
     void tick();
     void begin_stop();
     void continue_stop();
--- a/tests/ledger.cpp
+++ b/tests/ledger.cpp
@@ -576,6 +576,22 @@
     cr_assert_null(log.fold.find_grant(grant));
 }
 
+// Guards against tokens that stay charged for good because an agent was replaced by a planned stop
+// between the grant and its recovery: a drained agent has no usage left to report.
+Test(budget_shard, drained_agent_needs_no_report)
+{
+    stream log = create_stream(100);
+    log.append(router(2), agent_start_record{agent(1, 1), "m1"});
+    auto const grant = log.grant(router(1), season, 60);
+    log.append(router(2), agent_stop_record{agent(1, 1)});
+    log.append(router(2), agent_start_record{agent(1, 2), "m1"});
+    log.append(router(2), close_record{grant, "holder gone"});
+    cr_assert(log.fold.required_reports(grant) == (std::vector{agent(1, 2)}));
+    cr_assert(restored(log.fold).required_reports(grant) == (std::vector{agent(1, 2)}));
+    log.append(router(2), recover_record{grant, {agent(1, 2)}});
+    cr_assert_eq(log.fold.find_budget(season)->unallocated(), 100);
+}
+
 // Guards against an ended agent incarnation being forgotten while a grant needs its report, and
 // against a registry that grows with each restart.
 Test(budget_shard, ended_agents_are_kept_for_open_grants)
