Router, Log: Answer billed requests only from their agent; load streams without waiting

Cause: a request key that is used again with another body through the other router was placed by its own prompt, so no agent saw both. It ran a second time, and the fold did not bill it again. Ruled out: the fingerprint in each usage record, which costs 20 bytes a request on the log. Change: a billed request is answered only by the agent that ran it; all agents of the pool are asked, and without one the answer has expired.

Cause: reads of streams that were still being loaded waited up to a second for news on the others, once for each phase of the start. Change: such reads do not wait.

Before: end_to_end.refuses_a_changed_body_at_the_other_router fails; a router takes about 2 s to be ready.

--- a/libraries/log/src/log_client.cpp
+++ b/libraries/log/src/log_client.cpp
@@ -280,9 +280,14 @@
     Json::Value body(Json::objectValue);
     body["positions"] = std::move(positions);
     body["limit"] = settings_.read_limit;
-    body["wait_ms"] = Json::Int64(settings_.read_wait.count());
+    // A stream that is still being loaded must not wait for news on the others.
+    bool const is_loading = std::ranges::any_of(
+        tails_,
+        [](auto const& it) { return !it.second.has_caught_up && it.second.state != phase::gap; });
+    auto const wait = is_loading ? duration(0) : settings_.read_wait;
+    body["wait_ms"] = Json::Int64(wait.count());
     ++counters_.reads;
-    open(read_call_, settings_.read_wait + settings_.call_timeout);
+    open(read_call_, wait + settings_.call_timeout);
     hooks_.read(
         body,
         [this, alive = std::weak_ptr(alive_), id = read_call_.id](auto const& response)
--- a/services/router/idempotent_session.cpp
+++ b/services/router/idempotent_session.cpp
@@ -31,8 +31,9 @@
 
 void idempotent_session::begin()
 {
-    auto const& shard = context_.fold.shard_of_account(request_.id.account);
-    may_have_run_ = shard.find_request(request_.id) != nullptr;
+    auto const* entry =
+        context_.fold.shard_of_account(request_.id.account).find_request(request_.id);
+    may_have_run_ = entry != nullptr;
     if (is_blocked())
     {
         refuse_blocked();
@@ -47,7 +48,50 @@
             return;
         }
     }
-    place();
+    if (entry != nullptr && entry->is_billed)
+        find_answer();
+    else
+        place();
+}
+
+void idempotent_session::find_answer()
+{
+    // A second run would not be billed, so a billed request is only ever answered by the agent that
+    // ran it. A different body may belong to another prefix, therefore every agent is asked.
+    is_answer_only_ = true;
+    auto const open = std::make_shared<std::size_t>(1);
+    auto const conclude = [weak = weak_from_this(), open]
+    {
+        auto const self = weak.lock();
+        if (--*open > 0 || !self || self->is_ended())
+            return;
+        auto const session = std::static_pointer_cast<idempotent_session>(self);
+        if (session->target_.empty() || !session->attach_to(session->target_, -1))
+            session->refuse(
+                result_code::answer_expired, "the request ran, and its answer is no longer kept");
+    };
+    Json::Value params(Json::objectValue);
+    params["request"] = to_text(request_.id);
+    for (auto const& upstream : context_.members.usable_upstreams())
+    {
+        if (context_.pools.find_by_upstream(upstream) != pool_)
+            continue;
+        ++*open;
+        context_.rpc.call(
+            context_.members.find_upstream(upstream)->address,
+            "find_request",
+            params,
+            look_up_timeout,
+            [weak = weak_from_this(), upstream, conclude](
+                absl::StatusOr<Json::Value> const& result)
+            {
+                auto const self = std::static_pointer_cast<idempotent_session>(weak.lock());
+                if (self && result.ok() && (*result)["state"].asString() == "finished")
+                    self->target_ = upstream;
+                conclude();
+            });
+    }
+    conclude();
 }
 
 bool idempotent_session::is_blocked() const
@@ -268,6 +312,11 @@
 
 void idempotent_session::attempt_unsent()
 {
+    if (is_answer_only_)
+    {
+        refuse(result_code::upstream_lost, "the agent that keeps the answer cannot be reached");
+        return;
+    }
     finish_suspect(suspect_result::not_run);
     if (++refusals_ > refusal_limit)
     {
@@ -290,6 +339,11 @@
 
 void idempotent_session::attempt_lost()
 {
+    if (is_answer_only_)
+    {
+        refuse(result_code::upstream_lost, "the agent that keeps the answer cannot be reached");
+        return;
+    }
     finish_suspect(suspect_result::lost);
     abandon_attempt();
     failed_attempt const failed{true, response_->is_started()};
@@ -310,6 +364,11 @@
 
 void idempotent_session::attempt_failed(final_frame const& frame)
 {
+    if (is_answer_only_)
+    {
+        refuse(frame.code, frame.data);
+        return;
+    }
     finish_suspect(suspect_result::ended);
     failed_attempt const failed{true, response_->is_started()};
     if (frame.code != result_code::upstream_lost || !context_.retries.try_retry(failed))
--- a/services/router/idempotent_session.hpp
+++ b/services/router/idempotent_session.hpp
@@ -26,6 +26,7 @@
     void attempt_completed(final_frame const& frame) override;
 
 private:
+    void find_answer();
     bool is_blocked() const;
     void refuse_blocked();
     void place();
@@ -38,6 +39,7 @@
 
     std::string target_; ///< upstream chosen by the placement, or empty
     int refusals_ = 0;
+    bool is_answer_only_ = false; ///< the request is billed; it must not run again
 };
 
 } // namespace almondcart
