--- a/libraries/budget/include/almondcart/budget/transfer_id.hpp
+++ b/libraries/budget/include/almondcart/budget/transfer_id.hpp
@@ -18,6 +18,8 @@
     process_id receiver;
     std::int64_t number = 0;
 
+    // clang-tidy 14 takes the zero of rewritten comparisons for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(transfer_id const&, transfer_id const&) = default;
 };
 
--- a/services/router/control_service.cpp
+++ b/services/router/control_service.cpp
@@ -78,6 +78,7 @@
         }
         apply_load(*beat);
         apply_crashes(*beat);
+        context_.suspects.set_has_suspect(beat->upstream, beat->is_suspect_running);
         parts_.agents.add(*beat);
     }
     return to_json(reply);
--- a/services/router/front_end.hpp
+++ b/services/router/front_end.hpp
@@ -17,7 +17,11 @@
 {
 public:
     /// `is_ready` says whether the folds have caught up. All arguments outlive the front end.
-    front_end(router_context& context, http_server& server, std::function<bool()> is_ready);
+    front_end(
+        router_context& context,
+        http_server& server,
+        std::size_t body_limit_bytes,
+        std::function<bool()> is_ready);
 
     /// Refuses new requests from now on; those in progress go on.
     void begin_shutdown() { is_shutting_down_ = true; }
@@ -30,6 +34,7 @@
     create_session(caller_request request, std::shared_ptr<http_exchange> exchange);
 
     router_context& context_;
+    std::size_t body_limit_bytes_;
     std::function<bool()> is_ready_;
     std::set<std::shared_ptr<request_session>> sessions_;
     bool is_shutting_down_ = false;
--- a/services/router/idempotent_session.cpp
+++ b/services/router/idempotent_session.cpp
@@ -136,6 +136,19 @@
         if (context_.members.is_usable(upstream))
             target_ = upstream;
     }
+    else if (context_.suspects.check(request_.fingerprint) != suspicion::none)
+    {
+        // A suspect runs only where its home agent allows it; otherwise several routers could each
+        // bring down another upstream with it.
+        if (has_deadline_passed())
+            refuse(make_refusal(
+                result_code::no_upstream,
+                "the agent that places this request does not respond",
+                no_upstream_retry));
+        else
+            after(suspect_poll, [this] { place(); });
+        return;
+    }
     if (request_.message.request_key.empty() || attempt_ > 1)
         reserve();
     else
