--- a/services/router/router.cpp
+++ b/services/router/router.cpp
@@ -17,10 +17,6 @@
 constexpr duration transfer_timeout{1'000};
 constexpr duration close_grant_timeout{2'000};
 constexpr duration notify_timeout{1'000};
-/// Bodies above the limit are refused with a numbered code; far larger ones by the HTTP library,
-/// before they are in memory.
-constexpr std::size_t hard_limit_factor = 8;
-
 /// Budgets with metrics of their own; the rest is seen in `/status`, because each label value costs
 /// memory here and in the metrics store.
 constexpr std::size_t budget_label_limit = 200;
@@ -34,8 +30,7 @@
 {
     auto loop = std::make_unique<event_loop>();
     auto callers = http_server::create(
-        *loop,
-        {settings.listen, static_cast<std::size_t>(settings.body_limit_bytes) * hard_limit_factor});
+        *loop, {settings.listen, static_cast<std::size_t>(settings.body_limit_bytes)});
     if (!callers.ok())
         return callers.status();
     auto control = http_server::create(*loop, {settings.peer_listen});
@@ -110,7 +105,6 @@
     , front_end_(
           context_,
           *callers_,
-          static_cast<std::size_t>(settings_.body_limit_bytes),
           [this] { return log_.has_caught_up(); })
     , status_(context_, agents_, recovery_, create_status_sources())
     , control_service_(
