Gate, Router: Run a request again after its upstream was lost

Cause: work_gate::fail reported a lost connection as upstream_failed once there was output, and billed that output. The router then did not run the request elsewhere, the agent repeated the failed output to callers that returned with their key, and a billed request must not run a second time. Ruled out: billing the lost run and not the next one, because the next one is what the caller receives. Change: a lost idempotent run is upstream_lost and is not billed; its output is not repeated; the session drops what it has not sent. A failure that an agent repeats to a caller that returned does not use up the retry budget. The test failed_call_bills_what_was_produced keeps its assertions for answers that end early; lost_idempotent_run_is_not_billed states the rule for lost connections. The former assertion for them could not hold together with one bill for each request and whole answers.

--- a/libraries/gate/src/work_gate.cpp
+++ b/libraries/gate/src/work_gate.cpp
@@ -187,11 +187,21 @@
     auto const shared = std::make_shared<work_reader const>(std::move(deliver));
     // Lines are copied first, because a reader may call back and change the record.
     std::vector<work_line> lines;
-    for (auto n = static_cast<std::size_t>(work.from_frame); n < record.frames.size(); ++n)
+    // The output of a failed run is of no use to a caller that returns: it needs another run, and a
+    // stream that had begun could not be started again.
+    bool const is_useless = record.has_failed() && work.from_frame == 0;
+    for (auto n = static_cast<std::size_t>(work.from_frame);
+         n < record.frames.size() && !is_useless;
+         ++n)
         lines.emplace_back(record.frames[n]);
     std::uint64_t reader = 0;
     if (record.last)
-        lines.emplace_back(*record.last);
+    {
+        auto last = *record.last;
+        if (is_useless)
+            last.number = work.from_frame;
+        lines.emplace_back(std::move(last));
+    }
     else
     {
         reader = next_reader_++;
@@ -322,8 +332,13 @@
         monitor_.call_lost(call);
     else
         monitor_.call_ended(call);
-    auto const code =
-        record->frames.empty() ? result_code::upstream_lost : result_code::upstream_failed;
+    bool const is_lost = failure == call_failure::connection_lost;
+    // A lost idempotent run may be followed by another one, and a request is billed once: for the
+    // run that gives its answer.
+    if (is_lost && record->work.is_idempotent)
+        record->output_tokens = 0;
+    auto const code = is_lost || record->frames.empty() ? result_code::upstream_lost
+                                                        : result_code::upstream_failed;
     end_failed(*record, code, detail);
 }
 
--- a/services/router/caller_response.hpp
+++ b/services/router/caller_response.hpp
@@ -29,6 +29,9 @@
 
     void add(data_frame const& frame);
 
+    /// Drops output that has not been sent.
+    void discard() { assembler_ = {}; }
+
     /// Sends the rest. The caller's answer is complete after this call.
     void finish(final_frame const& frame);
 
--- a/services/router/idempotent_session.cpp
+++ b/services/router/idempotent_session.cpp
@@ -82,8 +82,7 @@
             "find_request",
             params,
             look_up_timeout,
-            [weak = weak_from_this(), upstream, conclude](
-                absl::StatusOr<Json::Value> const& result)
+            [weak = weak_from_this(), upstream, conclude](absl::StatusOr<Json::Value> const& result)
             {
                 auto const self = std::static_pointer_cast<idempotent_session>(weak.lock());
                 if (self && result.ok() && (*result)["state"].asString() == "finished")
@@ -371,7 +370,11 @@
     }
     finish_suspect(suspect_result::ended);
     failed_attempt const failed{true, response_->is_started()};
-    if (frame.code != result_code::upstream_lost || !context_.retries.try_retry(failed))
+    // A failure that was reported again belongs to an earlier call; the caller's return is a new
+    // request, not a retry of this router.
+    bool const may_retry =
+        is_attached_ ? !response_->is_started() : context_.retries.try_retry(failed);
+    if (frame.code != result_code::upstream_lost || !may_retry)
     {
         refuse(frame.code, frame.data);
         return;
--- a/services/router/request_session.cpp
+++ b/services/router/request_session.cpp
@@ -191,6 +191,9 @@
         return false;
     upstream_ = upstream;
     context_.directory.add(request_.id, {upstream, request_.fingerprint});
+    // Output of a lost run must not be mixed with that of the next one.
+    next_frame_ = 0;
+    response_->discard();
     work_ = create_dispatch(member->agent, intent_offset);
     if (!is_attached_)
     {
--- a/tests/gate.cpp
+++ b/tests/gate.cpp
@@ -349,13 +349,41 @@
     cr_assert((parts == std::vector<grant_part>{{{3, 7}, 30}, {{3, 9}, 23}}));
 }
 
+// Guards against a lost run being billed: the request is billed once, and a billed request is not
+// run again, so that its caller would never get a whole answer.
+Test(work_gate, lost_idempotent_run_is_not_billed)
+{
+    gate_bench bench;
+    bench.serve(create_dispatch("key-0001"));
+    bench.gate.add_output(bench.last_call(), "a", 2);
+    bench.gate.fail(bench.last_call(), "connection closed");
+    cr_assert_eq(bench.last(0).code, result_code::upstream_lost);
+    cr_assert(bench.last(0).parts.empty());
+    cr_assert_eq(bench.last(0).usage.total(), 0);
+    cr_assert_eq(bench.gate.unacknowledged(), 0);
+}
+
+// Guards against a stream that restarts with the output of a failed run, after which it could not
+// be run again.
+Test(work_gate, output_of_a_failed_run_is_not_repeated)
+{
+    gate_bench bench;
+    auto const work = create_dispatch("key-0001");
+    bench.serve(work);
+    bench.gate.add_output(bench.last_call(), "a", 2);
+    bench.gate.fail(bench.last_call(), "connection closed");
+    auto const second = bench.serve(work);
+    cr_assert_eq(bench.received[second].size(), 1);
+    cr_assert_eq(bench.last(second).code, result_code::upstream_lost);
+}
+
 // Guards against a failed call billing its whole reservation, or nothing.
 Test(work_gate, failed_call_bills_what_was_produced)
 {
     gate_bench bench;
     bench.serve(create_dispatch("key-0001"));
     bench.gate.add_output(bench.last_call(), "a", 2);
-    bench.gate.fail(bench.last_call(), "connection closed");
+    bench.gate.fail(bench.last_call(), "answer without end", call_failure::incomplete);
     cr_assert_eq(bench.last(0).code, result_code::upstream_failed);
     cr_assert((bench.last(0).parts == std::vector<grant_part>{{{3, 7}, 2}}));
     cr_assert_eq(bench.gate.unacknowledged(), 1);
