Agent, Router: Keep the grants of a router that agents still hear

Cause: a router that lost contact to its peers, but not to agents, had its grants closed after 5 s and its callers refused without need. Change: agents report which routers answer their heartbeats; a peer closes grants only if no reachable agent hears their holder. Safety does not depend on it: agents fence closed grants as before.

Before: silence between peers was enough.

--- a/libraries/gate/src/heartbeat.cpp
+++ b/libraries/gate/src/heartbeat.cpp
@@ -67,6 +67,9 @@
     json["running"] = value.running;
     json["free_slots"] = value.free_slots;
     json["suspect_running"] = value.is_suspect_running;
+    json["routers"] = Json::arrayValue;
+    for (auto const& router : value.routers)
+        json["routers"].append(to_text(router));
     json["cache_prefixes"] = Json::arrayValue;
     for (auto const& prefix : value.cache_prefixes)
         json["cache_prefixes"].append(prefix);
@@ -98,6 +101,13 @@
     value.running = static_cast<int>(reader.integer("running", 0, count_limit));
     value.free_slots = static_cast<int>(reader.integer("free_slots", 0, count_limit));
     value.is_suspect_running = reader.boolean("suspect_running");
+    for (auto const& text : reader.strings("routers"))
+    {
+        if (auto const router = try_process_id(text))
+            value.routers.push_back(*router);
+        else
+            reader.fail("routers", "process ids \"name@incarnation\"");
+    }
     value.cache_prefixes = reader.strings("cache_prefixes");
     reader.objects("crashes", [&](json_reader& it) { value.crashes.push_back(read_crash(it)); });
     if (auto const status = reader.finish(); !status.ok())
--- a/services/agent/router_links.cpp
+++ b/services/agent/router_links.cpp
@@ -31,7 +31,7 @@
     , hooks_(std::move(hooks))
 {
     for (auto const& address : settings_.routers)
-        links_.push_back({.address = address});
+        links_.push_back(link{.address = address});
     monitor_.set_routers(settings_.routers);
 }
 
@@ -53,6 +53,11 @@
 void router_links::send(link& link)
 {
     auto heartbeat = hooks_.create_heartbeat();
+    for (auto const& it : links_)
+    {
+        if (it.is_answering)
+            heartbeat.routers.push_back(it.router);
+    }
     heartbeat.crashes = monitor_.unseen_by(link.address);
     link.is_waiting = true;
     rpc_.call(
@@ -84,6 +89,7 @@
     link.is_registered = answer.ok() && answer->is_registered;
     if (!answer.ok())
         return;
+    link.router = answer->router;
     monitor_.mark_seen(link.address, sent);
     auto const own_offset = hooks_.create_heartbeat().config_offset;
     if (answer->config_offset > own_offset && !link.is_fetching)
--- a/services/agent/router_links.hpp
+++ b/services/agent/router_links.hpp
@@ -54,6 +54,7 @@
     struct link
     {
         std::string address;
+        process_id router{}; ///< that answered last
         bool is_waiting = false;
         bool is_answering = false;
         bool is_registered = false;
--- a/services/router/agent_directory.cpp
+++ b/services/router/agent_directory.cpp
@@ -1,5 +1,6 @@
 #include "agent_directory.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace almondcart {
@@ -20,4 +21,17 @@
     return nullptr;
 }
 
+bool agent_directory::is_router_heard(
+    process_id const& router,
+    std::function<bool(std::string const& upstream)> const& is_fresh) const
+{
+    return std::ranges::any_of(
+        by_upstream_,
+        [&](auto const& it)
+        {
+            auto const& routers = it.second.routers;
+            return std::ranges::find(routers, router) != routers.end() && is_fresh(it.first);
+        });
+}
+
 } // namespace almondcart
