Router, Command line: Mend what the read-through found

- /status and /timeline show all accounts, so they left the callers' port.
- 1503 says that it is unknown whether a publication was accepted.
- An outage of the log and its end are logged and on the time line.
- almondcart status shows grants in recovery.
- An invalid log level names file and member.

--- a/libraries/core/include/almondcart/core/json_members.hpp
+++ b/libraries/core/include/almondcart/core/json_members.hpp
@@ -17,6 +17,10 @@
 /// Member with an address "ip:port".
 std::string read_address(json_reader& reader, std::string_view member);
 
+/// Member with a log level that `set_up_logging` accepts, or `fallback` if it is missing.
+std::string
+read_log_level_or(json_reader& reader, std::string_view member, std::string const& fallback);
+
 /// Member with an array of addresses "ip:port".
 std::vector<std::string> read_addresses(json_reader& reader, std::string_view member);
 
--- a/libraries/core/include/almondcart/core/logging.hpp
+++ b/libraries/core/include/almondcart/core/logging.hpp
@@ -7,6 +7,9 @@
 
 namespace almondcart {
 
+/// Whether `level` is "debug", "info", "warning" or "error".
+bool is_log_level(std::string_view level);
+
 /// Sends log lines to standard error, one line per event, from `level` up: "debug", "info",
 /// "warning" or "error". Each line starts with the time, the level and the process name; the
 /// message starts with the fixed prefix of its part, for example "[budget]".
--- a/libraries/core/src/json_members.cpp
+++ b/libraries/core/src/json_members.cpp
@@ -1,5 +1,6 @@
 #include <almondcart/core/identifiers.hpp>
 #include <almondcart/core/json_members.hpp>
+#include <almondcart/core/logging.hpp>
 
 #include <absl/strings/numbers.h>
 #include <arpa/inet.h>
@@ -45,6 +46,15 @@
     return address;
 }
 
+std::string
+read_log_level_or(json_reader& reader, std::string_view member, std::string const& fallback)
+{
+    std::string level = reader.string_or(member, fallback);
+    if (!is_log_level(level))
+        reader.fail(member, "\"debug\", \"info\", \"warning\" or \"error\"");
+    return level;
+}
+
 std::vector<std::string> read_addresses(json_reader& reader, std::string_view member)
 {
     std::vector<std::string> addresses = reader.strings(member);
--- a/libraries/core/src/logging.cpp
+++ b/libraries/core/src/logging.cpp
@@ -4,6 +4,7 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <array>
 #include <memory>
 #include <utility>
@@ -21,6 +22,11 @@
 
 } // namespace
 
+bool is_log_level(std::string_view level)
+{
+    return std::ranges::any_of(level_names, [level](auto const& it) { return it.first == level; });
+}
+
 absl::Status set_up_logging(std::string_view process_name, std::string_view level)
 {
     for (auto const& [name, value] : level_names)
--- a/libraries/core/src/result_code.cpp
+++ b/libraries/core/src/result_code.cpp
@@ -34,7 +34,7 @@
     {result_code::upstream_failed, "upstream_failed", 502, ran_state::yes},
     {result_code::publish_conflict, "publish_conflict", 409, ran_state::no},
     {result_code::document_invalid, "document_invalid", 422, ran_state::no},
-    {result_code::log_unavailable, "log_unavailable", 503, ran_state::no},
+    {result_code::log_unavailable, "log_unavailable", 503, ran_state::unknown},
     {result_code::stale_incarnation, "stale_incarnation", 409, ran_state::no},
     {result_code::grant_closed, "grant_closed", 409, ran_state::no},
     {result_code::request_fenced, "request_fenced", 409, ran_state::no},
--- a/libraries/log/src/log_client.cpp
+++ b/libraries/log/src/log_client.cpp
@@ -75,10 +75,7 @@
     pending_record record;
     record.sequence = next_sequence_;
     record.value = to_json(log_record{
-        writer_,
-        next_sequence_,
-        std::move(body),
-        hooks_.logical_time ? hooks_.logical_time() : 0});
+        writer_, next_sequence_, std::move(body), hooks_.logical_time ? hooks_.logical_time() : 0});
     record.on_read_back = std::move(on_read_back);
     if (auto status = enqueue(stream, std::move(record)); !status.ok())
         return status;
--- a/services/agent/agent_settings.cpp
+++ b/services/agent/agent_settings.cpp
@@ -56,7 +56,7 @@
     settings.kind = read_kind(reader);
     settings.does_upstream_check_fencing = reader.boolean("upstream_checks_fencing");
     settings.routers = read_addresses(reader, "routers");
-    settings.log_level = reader.string_or("log_level", settings.log_level);
+    settings.log_level = read_log_level_or(reader, "log_level", settings.log_level);
     read_limits(reader, settings);
     if (auto status = reader.finish(); !status.ok())
         return status;
--- a/services/router/fleet_log.cpp
+++ b/services/router/fleet_log.cpp
@@ -80,6 +80,7 @@
 void fleet_log::tick()
 {
     client_.tick();
+    note_availability();
     auto const now = system_clock_source::now();
     if (now - checkpoints_checked_ < checkpoint_check_interval)
         return;
@@ -87,6 +88,21 @@
     write_checkpoints();
 }
 
+void fleet_log::note_availability()
+{
+    if (client_.is_available() == was_available_)
+        return;
+    was_available_ = client_.is_available();
+    if (was_available_)
+        spdlog::info("[log] The log responds.");
+    else
+        spdlog::warn("[log] The log does not respond; granted tokens and peers carry on.");
+    event entry;
+    entry.part = "log";
+    entry.name = was_available_ ? "log_available" : "log_unavailable";
+    journal_.record(std::move(entry));
+}
+
 void fleet_log::write_checkpoints()
 {
     if (!has_caught_up() || !is_available())
--- a/services/router/fleet_log.hpp
+++ b/services/router/fleet_log.hpp
@@ -61,6 +61,7 @@
 private:
     log_subscriber create_subscriber(std::string const& stream);
     void write_checkpoints();
+    void note_availability();
     bool is_checkpoint_due(std::string const& stream, instant now);
 
     duration checkpoint_interval_;
@@ -72,6 +73,7 @@
     std::map<std::string, instant> checkpoint_times_;
     instant checkpoints_checked_;
     bool has_gap_ = false;
+    bool was_available_ = false;
 };
 
 } // namespace almondcart
--- a/services/router/router.cpp
+++ b/services/router/router.cpp
@@ -115,8 +115,9 @@
     , started_(loop_->now())
 {
     fold_.set_hooks(create_fold_hooks());
-    serve_pages(*callers_);
-    serve_pages(*control_);
+    serve_health(*callers_);
+    serve_health(*control_);
+    serve_reports(*control_);
     metrics_.serve(*callers_);
     metrics_.serve(*control_);
     loop_->every(tick_interval, [this] { tick(); });
@@ -367,7 +368,12 @@
 {
     // A router that has just started has not heard its peers yet.
     bool const has_listened = loop_->now() - started_ >= settings_.peer_timeout;
-    return holder != self_ && has_listened && !members_.is_live_peer(holder);
+    if (holder == self_ || !has_listened || members_.is_live_peer(holder))
+        return false;
+    // A router that only lost contact to its peers still spends its grants; to close them would
+    // refuse its callers without need.
+    return !agents_.is_router_heard(
+        holder, [this](std::string const& upstream) { return members_.is_reachable(upstream); });
 }
 
 void router::fingerprint_identified(
@@ -399,10 +405,8 @@
         rpc_.call(beat.address, "clear_fingerprint", params, notify_timeout, [](auto const&) {});
 }
 
-void router::serve_pages(http_server& server)
+void router::serve_health(http_server& server)
 {
-    auto const answer = [](http_exchange& exchange, Json::Value const& value)
-    { exchange.respond_text(http_ok, "application/json", to_compact_json(value)); };
     server.route(
         "GET",
         "/healthz",
@@ -419,6 +423,13 @@
                 "text/plain",
                 is_ready ? "ready\n" : "not ready\n");
         });
+}
+
+// Budgets and request ids of all accounts are shown here, so callers' listeners do not serve it.
+void router::serve_reports(http_server& server)
+{
+    auto const answer = [](http_exchange& exchange, Json::Value const& value)
+    { exchange.respond_text(http_ok, "application/json", to_compact_json(value)); };
     server.route(
         "GET",
         "/status",
--- a/services/router/router.hpp
+++ b/services/router/router.hpp
@@ -70,7 +70,8 @@
         std::string const& fingerprint,
         std::vector<crash_record> const& records);
     void fingerprint_cleared(std::string const& fingerprint, crash_set const& crashes);
-    void serve_pages(http_server& server);
+    void serve_health(http_server& server);
+    void serve_reports(http_server& server);
     void update_metrics();
     void update_budget_metrics(budget_entry const& entry);
     void tick();
--- a/services/router/router_settings.cpp
+++ b/services/router/router_settings.cpp
@@ -26,7 +26,7 @@
     if (reader.has("vm_list_address"))
         settings.vm_list_address = read_address(reader, "vm_list_address");
     settings.peers = read_addresses(reader, "peers");
-    settings.log_level = reader.string_or("log_level", settings.log_level);
+    settings.log_level = read_log_level_or(reader, "log_level", settings.log_level);
     settings.flush_interval = reader.milliseconds_or("flush_interval_ms", settings.flush_interval);
     settings.peer_timeout = reader.milliseconds_or("peer_timeout_ms", settings.peer_timeout);
     settings.shutdown_timeout =
--- a/tests/configuration_docs.cpp
+++ b/tests/configuration_docs.cpp
@@ -27,7 +27,7 @@
 std::set<std::string> members_read_by(std::string const& source)
 {
     static std::regex const call(
-        R"re((?:read_name|read_address|read_addresses)\(\s*reader,\s*"([a-z0-9_]+)")re"
+        R"re((?:read_name|read_address|read_addresses|read_log_level_or)\(\s*reader,\s*"([a-z0-9_]+)")re"
         R"re(|reader\.(?!fail\b|has\b)\w+\(\s*"([a-z0-9_]+)")re");
     std::set<std::string> members;
     for (std::sregex_iterator it(source.begin(), source.end(), call), end; it != end; ++it)
--- a/utilities/cli/show_status.cpp
+++ b/utilities/cli/show_status.cpp
@@ -41,6 +41,17 @@
     }
 }
 
+void print_recoveries(Json::Value const& state)
+{
+    for (auto const& it : state["recoveries"])
+    {
+        std::cout << "grant " << it["grant"].asString() << " of " << it["holder"].asString()
+                  << " in recovery: " << it["stranded_tokens"].asInt64() << " tokens of "
+                  << it["budget"].asString() << ", waits for " << it["unreachable_agents"].size()
+                  << " agents\n";
+    }
+}
+
 void print_agents(Json::Value const& state)
 {
     for (auto const& agent : state["agents"])
@@ -82,6 +93,7 @@
     {
         print_budgets(whole[0]);
         print_agents(whole[0]);
+        print_recoveries(whole[0]);
     }
     return exit_code::success;
 }
