--- a/libraries/document/src/service_document.cpp
+++ b/libraries/document/src/service_document.cpp
@@ -2,6 +2,8 @@
 #include <almondcart/core/status.hpp>
 #include <almondcart/document/service_document.hpp>
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <array>
 #include <limits>
@@ -105,6 +107,7 @@
 std::vector<std::string> collect(Items const& items, Projection projection)
 {
     std::vector<std::string> values;
+    values.reserve(items.size());
     for (auto const& item : items)
         values.push_back(projection(item));
     return values;
@@ -145,7 +148,7 @@
         if (auto const repeated = find_repeated(values))
             return make_status(
                 result_code::document_invalid,
-                source + ": " + what + " \"" + *repeated + "\" is defined twice");
+                absl::StrCat(source, ": ", what, " \"", *repeated, "\" is defined twice"));
     }
     return absl::OkStatus();
 }
--- a/libraries/http/src/client_call.cpp
+++ b/libraries/http/src/client_call.cpp
@@ -3,6 +3,7 @@
 #include <almondcart/core/status.hpp>
 
 #include <absl/strings/cord.h>
+#include <absl/strings/str_cat.h>
 
 #include <utility>
 
@@ -84,7 +85,7 @@
     if (!request_.body.empty() || request_.method == "POST" || request_.method == "PUT")
         head_ += "content-length: " + std::to_string(request_.body.size()) + "\r\n";
     for (auto const& [name, value] : request_.headers)
-        head_ += name + ": " + value + "\r\n";
+        absl::StrAppend(&head_, name, ": ", value, "\r\n");
     head_ += "\r\n";
 }
 
--- a/libraries/http/src/server_core.cpp
+++ b/libraries/http/src/server_core.cpp
@@ -136,13 +136,13 @@
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
     if (bind(fd, address_.native(), address_.size()) != 0)
     {
-        auto const status = error("bind");
+        auto status = error("bind");
         ::close(fd);
         return status;
     }
     if (listen(fd, SOMAXCONN) != 0)
     {
-        auto const status = error("listen");
+        auto status = error("listen");
         ::close(fd);
         return status;
     }
--- a/services/router/control_service.cpp
+++ b/services/router/control_service.cpp
@@ -45,7 +45,7 @@
     bind("clear_fingerprint", &control_service::clear_fingerprint);
     server.bind(
         "publish",
-        [this](Json::Value const& params, json_rpc_server::reply_function reply)
+        [this](Json::Value const& params, json_rpc_server::reply_function const& reply)
         { parts_.publisher.publish(params, reply); });
     server.bind_immediate(
         "drain",
--- a/utilities/bench/product_policy.cpp
+++ b/utilities/bench/product_policy.cpp
@@ -41,7 +41,7 @@
 
     std::vector<trace_request const*> router_died(int router) override
     {
-        auto const waiting = fleet_.routers[std::size_t(router)]->waiting();
+        auto waiting = fleet_.routers[std::size_t(router)]->waiting();
         fleet_.routers[std::size_t(router)].reset();
         return waiting;
     }
--- a/utilities/bench/product_router.cpp
+++ b/utilities/bench/product_router.cpp
@@ -279,7 +279,7 @@
     transfer_id const& transfer,
     budget_id const& budget,
     token_count tokens,
-    transfer_broker::transfer_callback callback)
+    transfer_broker::transfer_callback const& callback)
 {
     auto const to = std::find_if(
         fleet_.routers.begin(),
@@ -292,7 +292,7 @@
         return;
     (*to)->later(
         hop,
-        [this, self = weak_from_this(), giver = to->get(), transfer, budget, tokens, callback]
+        [self = weak_from_this(), giver = to->get(), transfer, budget, tokens, callback]
         {
             auto answer = giver->holder_.transfer_out(transfer, budget, tokens);
             auto const router = self.lock();
--- a/utilities/bench/product_router.hpp
+++ b/utilities/bench/product_router.hpp
@@ -69,7 +69,7 @@
         transfer_id const& transfer,
         budget_id const& budget,
         token_count tokens,
-        transfer_broker::transfer_callback callback);
+        transfer_broker::transfer_callback const& callback);
     void close_grant(
         process_id const& agent,
         grant_id const& grant,
