--- a/libraries/document/include/almondcart/document/service_document.hpp
+++ b/libraries/document/include/almondcart/document/service_document.hpp
@@ -2,6 +2,7 @@
 
 #include <almondcart/core/identifiers.hpp>
 #include <almondcart/core/instant.hpp>
+#include <almondcart/core/json_reader.hpp>
 
 #include <absl/status/statusor.h>
 #include <json/json.h>
@@ -25,6 +26,10 @@
 std::string_view name_of(budget_preference preference);
 std::optional<budget_preference> try_budget_preference(std::string_view name);
 
+/// Preference named by `text`, the value of the member "preference". Other texts are an error of
+/// the reader.
+budget_preference read_budget_preference(json_reader& reader, std::string_view text);
+
 /// Prepaid budget of a client account.
 struct budget_definition
 {
--- a/libraries/document/src/service_document.cpp
+++ b/libraries/document/src/service_document.cpp
@@ -36,10 +36,8 @@
     budget.account = read_name(reader, "account");
     budget.name = read_name(reader, "name");
     budget.total_tokens = reader.integer("total_tokens", 0, total_tokens_limit);
-    auto const preference = try_budget_preference(reader.string_or("preference", "false_refusals"));
-    if (!preference)
-        reader.fail("preference", "\"false_refusals\" or \"overspend\"");
-    budget.preference = preference.value_or(budget_preference::false_refusals);
+    budget.preference =
+        read_budget_preference(reader, reader.string_or("preference", "false_refusals"));
     return budget;
 }
 
@@ -189,6 +187,14 @@
     return static_cast<budget_preference>(it - preference_names.begin());
 }
 
+budget_preference read_budget_preference(json_reader& reader, std::string_view text)
+{
+    auto const preference = try_budget_preference(text);
+    if (!preference)
+        reader.fail("preference", "\"false_refusals\" or \"overspend\"");
+    return preference.value_or(budget_preference::false_refusals);
+}
+
 absl::StatusOr<service_document>
 service_document::parse(Json::Value const& value, std::string const& source)
 {
--- a/libraries/ledger/src/budget_shard_json.cpp
+++ b/libraries/ledger/src/budget_shard_json.cpp
@@ -61,10 +61,7 @@
     budget_entry entry;
     entry.id = read_budget_id(reader, "budget");
     entry.total = reader.integer("total", 0, number_limit);
-    auto const preference = try_budget_preference(reader.string("preference"));
-    if (!preference)
-        reader.fail("preference", "\"false_refusals\" or \"overspend\"");
-    entry.preference = preference.value_or(budget_preference::false_refusals);
+    entry.preference = read_budget_preference(reader, reader.string("preference"));
     entry.document_version = reader.integer("document_version", 0, number_limit);
     entry.settled = reader.integer("settled", 0, number_limit);
     entry.charged = reader.integer("charged", 0, number_limit);
--- a/libraries/ledger/src/records.cpp
+++ b/libraries/ledger/src/records.cpp
@@ -162,10 +162,7 @@
     limit_record body;
     body.budget = read_budget_id(reader, "budget");
     body.total_tokens = reader.integer("total_tokens", 0, token_count_limit);
-    auto const preference = try_budget_preference(reader.string("preference"));
-    if (!preference)
-        reader.fail("preference", "\"false_refusals\" or \"overspend\"");
-    body.preference = preference.value_or(budget_preference::false_refusals);
+    body.preference = read_budget_preference(reader, reader.string("preference"));
     body.document_version = reader.integer("document_version", 1, number_limit);
     return body;
 }
--- a/services/agent/main.cpp
+++ b/services/agent/main.cpp
@@ -38,10 +38,18 @@
 int main(int argc, char** argv)
 {
     cxxopts::Options options("almondcart-agent", "Admission gate beside one upstream");
-    options.add_options()("settings", "settings file", cxxopts::value<std::string>());
+    options.add_options()("settings", "JSON settings file", cxxopts::value<std::string>())(
+        "help", "print this help");
     try
     {
         auto const result = options.parse(argc, argv);
+        if (result.count("help") > 0)
+        {
+            std::cout << options.help()
+                      << "\nExample: almondcart-agent --settings agent.json\n"
+                         "docs/configuration.md lists the members of the settings.\n";
+            return 0;
+        }
         if (result.count("settings") == 0)
             return fail("missing option --settings FILE");
         return run(result["settings"].as<std::string>());
--- a/services/router/main.cpp
+++ b/services/router/main.cpp
@@ -31,7 +31,7 @@
         auto const parsed = options.parse(argc, argv);
         if (parsed.count("help") > 0)
         {
-            std::cout << options.help();
+            std::cout << options.help() << "\nExample: almondcart-router --settings router.json\n";
             return 0;
         }
         auto settings = almondcart::router_settings::load(parsed["settings"].as<std::string>());
--- a/utilities/standins/common/standin_program.cpp
+++ b/utilities/standins/common/standin_program.cpp
@@ -9,7 +9,8 @@
 standin_program::standin_program(std::string const& name)
     : options_(name)
 {
-    options_.add_options()("listen", "ip:port", cxxopts::value<std::string>());
+    options_.add_options()("listen", "ip:port", cxxopts::value<std::string>())(
+        "help", "print this help");
 }
 
 int standin_program::run(int argc, char const* const* argv, create_function const& create)
@@ -18,6 +19,11 @@
     try
     {
         auto const arguments = options_.parse(argc, argv);
+        if (arguments.count("help") > 0)
+        {
+            std::cout << options_.help();
+            return 0;
+        }
         event_loop loop;
         auto server = http_server::create(loop, {arguments["listen"].as<std::string>()});
         if (!server.ok())
