Gateway: Forward requests of the users' platform

Cause: the product could not run on the users' platform, whose callers, upstreams and store speak other protocols than the product's own.

Ruled out: h2o's HTTP server and client for the forwarded exchange. Its server stops reading a connection while a request runs, so a caller that leaves is noticed late, and its client hides bytes after a response. h2o's sockets and parser are used instead.

Change: library http1 (byte-exact connections), library forwarding (configuration, upstreams, choice, prepaid draws), folder platform (codecs and store client), program almondcart-gateway, deploy files.

--- a/libraries/core/src/logging.cpp
+++ b/libraries/core/src/logging.cpp
@@ -3,12 +3,15 @@
 
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <memory>
 #include <utility>
 
+#include "bounded_sink.hpp"
+
 namespace almondcart {
 
 namespace {
@@ -27,13 +30,15 @@
     return std::ranges::any_of(level_names, [level](auto const& it) { return it.first == level; });
 }
 
-absl::Status set_up_logging(std::string_view process_name, std::string_view level)
+namespace {
+
+absl::Status
+set_up_sink(std::string_view process_name, std::string_view level, spdlog::sink_ptr sink)
 {
     for (auto const& [name, value] : level_names)
     {
         if (name != level)
             continue;
-        auto sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
         auto logger = std::make_shared<spdlog::logger>(std::string(process_name), std::move(sink));
         logger->set_level(value);
         logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %n %v");
@@ -45,4 +50,29 @@
         "log_level: expected \"debug\", \"info\", \"warning\" or \"error\"");
 }
 
+std::shared_ptr<detail::bounded_sink>& output_sink()
+{
+    static std::shared_ptr<detail::bounded_sink> sink;
+    return sink;
+}
+
+} // namespace
+
+absl::Status set_up_logging(std::string_view process_name, std::string_view level)
+{
+    return set_up_sink(process_name, level, std::make_shared<spdlog::sinks::stderr_sink_st>());
+}
+
+absl::Status set_up_output_logging(std::string_view process_name, std::string_view level)
+{
+    output_sink() = std::make_shared<detail::bounded_sink>(STDOUT_FILENO);
+    return set_up_sink(process_name, level, output_sink());
+}
+
+void flush_output_logging()
+{
+    if (output_sink() != nullptr)
+        output_sink()->drain();
+}
+
 } // namespace almondcart
--- /dev/null
+++ b/libraries/forwarding/include/almondcart/forwarding/prepaid_ledger.hpp
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace almondcart::forwarding {
+
+/// Owner of drawn tokens: one client account on one VM. The processes that run on a VM one after
+/// the other share it.
+struct draw_owner
+{
+    std::string account;
+    std::string vm;
+
+    auto operator<=>(draw_owner const&) const = default;
+};
+
+/// Newest record of one owner on the log.
+struct draw_record
+{
+    draw_owner owner;
+    std::int64_t drawn_tokens = 0; ///< in total, less what was given back
+    std::string writer;            ///< start of a process that wrote the record
+    std::uint64_t sequence = 0;    ///< number of the append among those of `writer`
+
+    /// Key of the record in its topic.
+    std::string key() const;
+    std::string value() const;
+
+    /// Returns `malformed_request` for a record of another form.
+    static absl::StatusOr<draw_record> parse(std::string_view key, std::string_view value);
+};
+
+/// Tokens of each account that routers have drawn from the prepaid totals. It holds the newest
+/// record of each owner, up to a position of the log. Records are appended only where the writer
+/// knows the whole log, so a sum over the owners never passes the total that the writer knew.
+class prepaid_ledger
+{
+public:
+    /// Takes over the record at `offset`, unless it is known already.
+    void apply(std::int64_t offset, draw_record const& record);
+
+    /// Skips a record without meaning for the ledger.
+    void skip(std::int64_t offset);
+
+    /// Tells that the log ends at `end`, which records before it have made known.
+    void advance(std::int64_t end);
+
+    std::int64_t drawn(std::string_view account) const;
+    std::int64_t drawn_by(draw_owner const& owner) const;
+
+    /// VMs that have drawn from an account.
+    std::size_t owner_count(std::string_view account) const;
+
+    /// Offset of the first record that the ledger does not know.
+    std::int64_t end() const { return end_; }
+
+    /// Highest append number of `writer` that is in the ledger, 0 if there is none.
+    std::uint64_t last_sequence(std::string_view writer) const;
+
+private:
+    struct account_state
+    {
+        std::int64_t drawn_tokens = 0;
+        std::size_t owners = 0;
+    };
+
+    std::int64_t end_ = 0;
+    std::map<draw_owner, std::int64_t> by_owner_;
+    std::map<std::string, account_state, std::less<>> by_account_;
+    std::map<std::string, std::uint64_t, std::less<>> sequences_;
+};
+
+} // namespace almondcart::forwarding
--- /dev/null
+++ b/libraries/forwarding/include/almondcart/forwarding/prompt.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+namespace almondcart::forwarding {
+
+/// Part of a prompt that several requests may share. Engines cache parts from the first on.
+struct prompt_part
+{
+    std::uint64_t id = 0;
+    std::int64_t tokens = 0;
+};
+
+/// What a model request says about its size.
+struct prompt
+{
+    std::int64_t input_tokens = 0;
+    std::int64_t output_limit_tokens = 0;
+    std::vector<prompt_part> parts; ///< in order; the last one belongs to this request alone
+
+    /// Most tokens that the request can consume.
+    std::int64_t worst_case_tokens() const { return input_tokens + output_limit_tokens; }
+};
+
+} // namespace almondcart::forwarding
--- /dev/null
+++ b/libraries/forwarding/src/prepaid_ledger.cpp
@@ -0,0 +1,100 @@
+#include <almondcart/core/json.hpp>
+#include <almondcart/core/json_reader.hpp>
+#include <almondcart/core/status.hpp>
+#include <almondcart/forwarding/prepaid_ledger.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace almondcart::forwarding {
+
+namespace {
+
+constexpr char key_separator = '/';
+
+} // namespace
+
+std::string draw_record::key() const
+{
+    return owner.account + key_separator + owner.vm;
+}
+
+std::string draw_record::value() const
+{
+    Json::Value value(Json::objectValue);
+    value["drawn_tokens"] = Json::Int64(drawn_tokens);
+    value["writer"] = writer;
+    value["sequence"] = Json::UInt64(sequence);
+    return to_compact_json(value);
+}
+
+absl::StatusOr<draw_record> draw_record::parse(std::string_view key, std::string_view value)
+{
+    auto const separator = key.rfind(key_separator);
+    if (separator == std::string_view::npos)
+        return make_status(result_code::malformed_request, "draw record with an unknown key");
+    auto const json = parse_json(value);
+    if (!json.ok())
+        return json.status();
+    draw_record record;
+    record.owner = {
+        std::string(key.substr(0, separator)), std::string(key.substr(separator + 1))};
+    json_reader reader(*json, "draw record", result_code::malformed_request);
+    constexpr auto maximum = std::numeric_limits<std::int64_t>::max();
+    record.drawn_tokens = reader.integer("drawn_tokens", 0, maximum);
+    record.writer = reader.string("writer");
+    record.sequence = static_cast<std::uint64_t>(reader.integer("sequence", 0, maximum));
+    if (auto status = reader.finish(); !status.ok())
+        return status;
+    return record;
+}
+
+void prepaid_ledger::apply(std::int64_t offset, draw_record const& record)
+{
+    if (offset < end_)
+        return;
+    end_ = offset + 1;
+    auto const [it, is_new] = by_owner_.try_emplace(record.owner, 0);
+    auto& account = by_account_[record.owner.account];
+    account.owners += is_new ? 1 : 0;
+    account.drawn_tokens += record.drawn_tokens - it->second;
+    it->second = record.drawn_tokens;
+    auto& sequence = sequences_[record.writer];
+    sequence = std::max(sequence, record.sequence);
+}
+
+void prepaid_ledger::skip(std::int64_t offset)
+{
+    end_ = std::max(end_, offset + 1);
+}
+
+void prepaid_ledger::advance(std::int64_t end)
+{
+    end_ = std::max(end_, end);
+}
+
+std::int64_t prepaid_ledger::drawn(std::string_view account) const
+{
+    auto const it = by_account_.find(account);
+    return it == by_account_.end() ? 0 : it->second.drawn_tokens;
+}
+
+std::int64_t prepaid_ledger::drawn_by(draw_owner const& owner) const
+{
+    auto const it = by_owner_.find(owner);
+    return it == by_owner_.end() ? 0 : it->second;
+}
+
+std::size_t prepaid_ledger::owner_count(std::string_view account) const
+{
+    auto const it = by_account_.find(account);
+    return it == by_account_.end() ? 0 : it->second.owners;
+}
+
+std::uint64_t prepaid_ledger::last_sequence(std::string_view writer) const
+{
+    auto const it = sequences_.find(writer);
+    return it == sequences_.end() ? 0 : it->second;
+}
+
+} // namespace almondcart::forwarding
--- /dev/null
+++ b/libraries/http1/include/almondcart/http1/message.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <almondcart/http/http_headers.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace almondcart::http1 {
+
+/// Request line and header lines.
+struct request_head
+{
+    std::string method;
+    std::string target; ///< path with query, as sent
+    int minor_version = 1;
+    http_headers headers;
+};
+
+/// Status line and header lines.
+struct response_head
+{
+    int status = 0;
+    std::string reason;
+    int minor_version = 1;
+    http_headers headers;
+};
+
+enum class parse_result
+{
+    complete,
+    incomplete,
+    malformed,
+};
+
+/// Parses a head at the start of `data`. On `complete`, `consumed` is its length in bytes.
+parse_result parse_request_head(std::string_view data, request_head& head, std::size_t& consumed);
+parse_result parse_response_head(std::string_view data, response_head& head, std::size_t& consumed);
+
+/// How the end of a body is found.
+enum class body_framing
+{
+    none,
+    length,
+    chunked,
+    until_close,
+};
+
+struct body_description
+{
+    body_framing framing = body_framing::none;
+    std::uint64_t length = 0; ///< bytes, for `length`
+};
+
+/// Framing of a request body; nothing if the headers are ambiguous, which could hide a second
+/// request inside the body.
+std::optional<body_description> describe_request_body(request_head const& head);
+
+/// Framing of the body of a response to `request_method`; nothing if the headers are ambiguous.
+std::optional<body_description>
+describe_response_body(response_head const& head, std::string_view request_method);
+
+/// Finds the end of a body in a stream of bytes and removes chunk framing.
+class body_decoder
+{
+public:
+    explicit body_decoder(body_description description);
+
+    /// Decodes the bytes at the start of `data`, removes them from it and appends the content to
+    /// `content`.
+    parse_result feed(std::string_view& data, std::string& content);
+
+    /// Whether the body is complete if the sender closes the connection now.
+    bool is_complete_at_close() const { return description_.framing == body_framing::until_close; }
+
+private:
+    parse_result feed_length(std::string_view& data, std::string& content);
+    parse_result feed_chunked(std::string_view& data, std::string& content);
+    parse_result read_chunk_line(std::string_view line);
+
+    enum class chunk_state
+    {
+        size_line,
+        content,
+        content_end,
+        trailer,
+    };
+
+    body_description description_;
+    std::uint64_t remaining_ = 0; ///< bytes left of the body or of the chunk
+    chunk_state chunk_state_ = chunk_state::size_line;
+    std::string line_; ///< unfinished size or trailer line
+};
+
+/// Whether a header line concerns only one connection and is not forwarded.
+bool is_connection_header(std::string_view name);
+
+/// Whether the `Connection` header lists `token`.
+bool has_connection_token(http_headers const& headers, std::string_view token);
+
+/// Appends "name: value" lines.
+void append_headers(std::string& out, http_headers const& headers);
+
+/// Text of a status code, "Unknown" for codes without a registered one.
+std::string_view reason_of(int status);
+
+} // namespace almondcart::http1
--- /dev/null
+++ b/libraries/http1/src/byte_stream.cpp
@@ -0,0 +1,166 @@
+#include <almondcart/http1/byte_stream.hpp>
+
+#include <h2o.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <utility>
+
+namespace almondcart::http1 {
+
+/// Shared with the socket, because h2o calls back for a write after its owner may be gone.
+struct byte_stream::state : std::enable_shared_from_this<byte_stream::state>
+{
+    event_loop& loop;
+    callbacks hooks;
+    h2o_socket_t* socket = nullptr;
+    bool is_connected = false;
+    std::string writing; ///< passed to h2o, unchanged until the write completes
+    std::string queued;
+
+    state(event_loop& owner, callbacks functions)
+        : loop(owner)
+        , hooks(std::move(functions))
+    {}
+
+    static state& of(h2o_socket_t* socket) { return *static_cast<state*>(socket->data); }
+
+    void start_reading()
+    {
+        is_connected = true;
+        int const on = 1;
+        setsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        h2o_socket_read_start(socket, on_read);
+    }
+
+    void close()
+    {
+        if (socket == nullptr)
+            return;
+        hooks = {};
+        h2o_socket_close(std::exchange(socket, nullptr));
+    }
+
+    void end(stream_end reason)
+    {
+        auto const on_end = std::move(hooks.on_end);
+        close();
+        if (on_end)
+            on_end(reason);
+    }
+
+    void flush()
+    {
+        if (!is_connected || socket == nullptr || !writing.empty() || queued.empty())
+            return;
+        writing.swap(queued);
+        auto buf = h2o_iovec_init(writing.data(), writing.size());
+        h2o_socket_write(socket, &buf, 1, on_written);
+    }
+
+    static void on_connect(h2o_socket_t* socket, char const* error)
+    {
+        auto const self = of(socket).shared_from_this();
+        if (error != nullptr)
+        {
+            self->end(stream_end::failed);
+            return;
+        }
+        self->start_reading();
+        if (self->hooks.on_connected)
+            self->hooks.on_connected();
+        self->flush();
+    }
+
+    static void on_read(h2o_socket_t* socket, char const* error)
+    {
+        auto const self = of(socket).shared_from_this();
+        if (error != nullptr)
+        {
+            self->end(
+                error == h2o_socket_error_closed ? stream_end::closed_by_peer
+                                                 : stream_end::failed);
+            return;
+        }
+        std::string const data(socket->input->bytes, socket->input->size);
+        h2o_buffer_consume(&socket->input, socket->input->size);
+        // A copy, because the callback may close the stream.
+        if (auto const on_data = self->hooks.on_data; on_data && !data.empty())
+            on_data(data);
+    }
+
+    static void on_written(h2o_socket_t* socket, char const* error)
+    {
+        auto const self = of(socket).shared_from_this();
+        self->writing.clear();
+        if (error != nullptr)
+            self->end(stream_end::failed);
+        else
+            self->flush();
+    }
+};
+
+namespace {
+
+/// Releases the reference that the socket holds.
+void release_state(void* data)
+{
+    delete static_cast<std::shared_ptr<void>*>(data);
+}
+
+void hold_state(h2o_socket_t* socket, std::shared_ptr<void> state)
+{
+    socket->data = state.get();
+    socket->on_close.data = new std::shared_ptr<void>(std::move(state));
+    socket->on_close.cb = release_state;
+}
+
+} // namespace
+
+byte_stream::byte_stream(std::shared_ptr<state> state)
+    : state_(std::move(state))
+{}
+
+byte_stream::~byte_stream()
+{
+    state_->close();
+}
+
+std::unique_ptr<byte_stream>
+byte_stream::connect(event_loop& loop, socket_address const& address, callbacks hooks)
+{
+    auto data = std::make_shared<state>(loop, std::move(hooks));
+    auto peer = address;
+    data->socket =
+        h2o_socket_connect(loop.native(), peer.native(), peer.size(), state::on_connect);
+    if (data->socket == nullptr)
+    {
+        loop.post([data] { data->hooks.on_end ? data->hooks.on_end(stream_end::failed) : void(); });
+        return std::unique_ptr<byte_stream>(new byte_stream(std::move(data)));
+    }
+    hold_state(data->socket, data);
+    return std::unique_ptr<byte_stream>(new byte_stream(std::move(data)));
+}
+
+std::unique_ptr<byte_stream> byte_stream::adopt(event_loop& loop, int fd, callbacks hooks)
+{
+    auto data = std::make_shared<state>(loop, std::move(hooks));
+    data->socket = h2o_evloop_socket_create(loop.native(), fd, 0);
+    hold_state(data->socket, data);
+    data->start_reading();
+    return std::unique_ptr<byte_stream>(new byte_stream(std::move(data)));
+}
+
+void byte_stream::write(std::string_view data)
+{
+    state_->queued += data;
+    state_->flush();
+}
+
+std::size_t byte_stream::pending_bytes() const
+{
+    return state_->writing.size() + state_->queued.size();
+}
+
+} // namespace almondcart::http1
--- /dev/null
+++ b/libraries/http1/src/inbound_connection.cpp
@@ -0,0 +1,347 @@
+#include "inbound_connection.hpp"
+
+
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace almondcart::http1 {
+
+namespace {
+
+constexpr int bad_request = 400;
+constexpr int request_timeout = 408;
+constexpr int content_too_large = 413;
+constexpr int header_too_large = 431;
+
+/// Time a refused client gets to read the refusal before the connection is closed, because closing
+/// with unread bytes resets the connection.
+constexpr duration linger_time{500};
+
+bool expects_continue(request_head const& head)
+{
+    auto const value = find_header(head.headers, "expect");
+    return value && equals_without_case(*value, "100-continue");
+}
+
+} // namespace
+
+inbound_connection::inbound_connection(
+    std::weak_ptr<inbound_server::state> server,
+    event_loop& loop)
+    : server_(std::move(server))
+    , loop_(loop)
+{}
+
+inbound_connection::~inbound_connection()
+{
+    timer_.cancel();
+}
+
+void inbound_connection::open(int fd)
+{
+    byte_stream::callbacks hooks;
+    hooks.on_data = [this](std::string_view data) { receive(data); };
+    hooks.on_end = [this](stream_end /*reason*/) { close(); };
+    stream_ = byte_stream::adopt(loop_, fd, std::move(hooks));
+    arm_timer(limits().idle_timeout);
+}
+
+void inbound_connection::close()
+{
+    auto const self = shared_from_this();
+    timer_.cancel();
+    stream_.reset();
+    reading_.reset();
+    if (auto const server = server_.lock())
+        server->connections.erase(this);
+    if (auto const exchange = exchange_.lock())
+    {
+        exchange_.reset();
+        if (auto const callback = std::exchange(exchange->disconnect_, {}))
+            callback();
+    }
+}
+
+inbound_limits inbound_connection::limits() const
+{
+    auto const server = server_.lock();
+    return server ? server->limits : inbound_limits{};
+}
+
+bool inbound_connection::is_draining() const
+{
+    auto const server = server_.lock();
+    return !server || server->is_draining;
+}
+
+void inbound_connection::receive(std::string_view data)
+{
+    if (is_closing_)
+        return;
+    input_ += data;
+    if (phase_ == phase::response)
+    {
+        // A client that sends on and on while it waits is cut off.
+        auto const bounds = limits();
+        if (input_.size() > bounds.header_bytes + bounds.body_bytes)
+            close();
+        return;
+    }
+    read_requests();
+}
+
+void inbound_connection::read_requests()
+{
+    if (is_reading_)
+        return;
+    auto const self = shared_from_this();
+    is_reading_ = true;
+    bool is_going_on = true;
+    while (is_going_on && stream_ != nullptr && !is_closing_)
+    {
+        if (phase_ == phase::head)
+            is_going_on = !input_.empty() && read_head();
+        else if (phase_ == phase::body)
+            is_going_on = read_body();
+        else
+            is_going_on = false;
+    }
+    is_reading_ = false;
+}
+
+bool inbound_connection::read_head()
+{
+    auto const bounds = limits();
+    if (!reading_)
+    {
+        reading_ = std::make_shared<inbound_exchange>(weak_from_this());
+        reading_->is_finished_ = true; // not yet handed out
+        arm_timer(bounds.header_timeout);
+    }
+    std::size_t consumed = 0;
+    auto const result = parse_request_head(input_, reading_->head_, consumed);
+    bool const is_too_large =
+        result == parse_result::incomplete ? input_.size() > bounds.header_bytes
+                                           : consumed > bounds.header_bytes;
+    if (is_too_large)
+        refuse(header_too_large);
+    else if (result == parse_result::malformed)
+        refuse(bad_request);
+    if (is_too_large || result != parse_result::complete)
+        return false;
+    input_.erase(0, consumed);
+    auto const description = describe_request_body(reading_->head_);
+    if (!description)
+    {
+        refuse(bad_request);
+        return false;
+    }
+    if (description->length > bounds.body_bytes)
+    {
+        refuse(content_too_large);
+        return false;
+    }
+    if (description->framing != body_framing::none && input_.empty()
+        && expects_continue(reading_->head_))
+        stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
+    decoder_.emplace(*description);
+    phase_ = phase::body;
+    return true;
+}
+
+bool inbound_connection::read_body()
+{
+    std::string_view data = input_;
+    auto const result = decoder_->feed(data, reading_->body_);
+    input_.erase(0, input_.size() - data.size());
+    if (reading_->body_.size() > limits().body_bytes)
+    {
+        refuse(content_too_large);
+        return false;
+    }
+    if (result == parse_result::malformed)
+    {
+        refuse(bad_request);
+        return false;
+    }
+    if (result == parse_result::incomplete)
+    {
+        arm_timer(limits().header_timeout);
+        return false;
+    }
+    decoder_.reset();
+    dispatch();
+    return true;
+}
+
+void inbound_connection::dispatch()
+{
+    timer_.cancel();
+    phase_ = phase::response;
+    auto exchange = std::exchange(reading_, nullptr);
+    exchange->is_finished_ = false;
+    exchange->is_closing_ = exchange->head_.minor_version == 0
+                            || has_connection_token(exchange->head_.headers, "close");
+    exchange_ = exchange;
+    if (auto const server = server_.lock())
+        server->handle(std::move(exchange));
+}
+
+void inbound_connection::refuse(int status)
+{
+    std::string response = "HTTP/1.1 " + std::to_string(status) + " ";
+    response += reason_of(status);
+    response += "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    stream_->write(response);
+    reading_.reset();
+    is_closing_ = true;
+    arm_timer(linger_time);
+}
+
+void inbound_connection::arm_timer(duration delay)
+{
+    timer_.cancel();
+    timer_ = loop_.after(delay, [this] { expire(); });
+}
+
+void inbound_connection::expire()
+{
+    bool const is_in_request = reading_ != nullptr;
+    if (is_in_request && !is_closing_)
+        refuse(request_timeout);
+    else
+        close();
+}
+
+void inbound_connection::finish_response(bool is_closing)
+{
+    exchange_.reset();
+    phase_ = phase::head;
+    if (is_closing)
+    {
+        is_closing_ = true;
+        arm_timer(linger_time);
+        return;
+    }
+    arm_timer(limits().idle_timeout);
+    if (!input_.empty())
+        loop_.post(
+            [weak = weak_from_this()]
+            {
+                if (auto const self = weak.lock())
+                    self->read_requests();
+            });
+}
+
+inbound_exchange::inbound_exchange(std::weak_ptr<inbound_connection> connection)
+    : connection_(std::move(connection))
+{}
+
+inbound_exchange::~inbound_exchange()
+{
+    abort();
+}
+
+void inbound_exchange::write_head(
+    int status,
+    http_headers const& headers,
+    std::optional<std::size_t> length)
+{
+    auto const connection = connection_.lock();
+    if (!connection || connection->stream_ == nullptr)
+        return;
+    if (connection->is_draining())
+        is_closing_ = true;
+    std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
+    head += reason_of(status);
+    head += "\r\n";
+    append_headers(head, headers);
+    if (length)
+        head += "Content-Length: " + std::to_string(*length) + "\r\n";
+    else if (is_chunked_)
+        head += "Transfer-Encoding: chunked\r\n";
+    if (is_closing_)
+        head += "Connection: close\r\n";
+    head += "\r\n";
+    connection->stream_->write(head);
+    is_started_ = true;
+}
+
+void inbound_exchange::respond(int status, http_headers const& headers, std::string_view body)
+{
+    if (!is_open() || is_started_)
+        return;
+    write_head(status, headers, body.size());
+    if (auto const connection = connection_.lock();
+        connection && connection->stream_ != nullptr && head_.method != "HEAD")
+        connection->stream_->write(body);
+    complete();
+}
+
+void inbound_exchange::start(int status, http_headers const& headers)
+{
+    if (!is_open() || is_started_)
+        return;
+    is_chunked_ = head_.minor_version > 0;
+    is_closing_ = is_closing_ || !is_chunked_;
+    write_head(status, headers, std::nullopt);
+}
+
+void inbound_exchange::send(std::string_view data)
+{
+    auto const connection = connection_.lock();
+    if (!is_open() || !is_started_ || data.empty() || connection->stream_ == nullptr)
+        return;
+    if (!is_chunked_)
+    {
+        connection->stream_->write(data);
+        return;
+    }
+    constexpr int hexadecimal = 16;
+    std::string chunk;
+    chunk.reserve(data.size() + hexadecimal);
+    std::array<char, hexadecimal> size{};
+    auto const end = std::to_chars(size.data(), size.data() + size.size(), data.size(), hexadecimal);
+    chunk.append(size.data(), end.ptr);
+    chunk += "\r\n";
+    chunk += data;
+    chunk += "\r\n";
+    connection->stream_->write(chunk);
+}
+
+void inbound_exchange::finish()
+{
+    auto const connection = connection_.lock();
+    if (!is_open() || !is_started_)
+        return;
+    if (is_chunked_ && connection->stream_ != nullptr)
+        connection->stream_->write("0\r\n\r\n");
+    complete();
+}
+
+void inbound_exchange::complete()
+{
+    is_finished_ = true;
+    disconnect_ = {};
+    if (auto const connection = connection_.lock())
+        connection->finish_response(is_closing_);
+}
+
+void inbound_exchange::abort()
+{
+    if (is_finished_)
+        return;
+    is_finished_ = true;
+    disconnect_ = {};
+    if (auto const connection = connection_.lock())
+        connection->close();
+}
+
+std::size_t inbound_exchange::pending_bytes() const
+{
+    auto const connection = connection_.lock();
+    return connection && connection->stream_ != nullptr ? connection->stream_->pending_bytes() : 0;
+}
+
+} // namespace almondcart::http1
--- /dev/null
+++ b/libraries/http1/src/inbound_connection.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <almondcart/http1/inbound_server.hpp>
+
+#include <h2o.h>
+
+#include <unordered_map>
+
+namespace almondcart::http1 {
+
+struct inbound_server::state
+{
+    event_loop& loop;
+    handler handle;
+    inbound_limits limits;
+    h2o_socket_t* listener = nullptr;
+    bool is_draining = false;
+    std::unordered_map<inbound_connection*, std::shared_ptr<inbound_connection>> connections;
+};
+
+/// One client connection, which carries one request at a time; bytes of further requests wait.
+class inbound_connection : public std::enable_shared_from_this<inbound_connection>
+{
+public:
+    inbound_connection(std::weak_ptr<inbound_server::state> server, event_loop& loop);
+    ~inbound_connection();
+
+    void open(int fd);
+    void close();
+    bool is_idle() const { return exchange_.expired() && input_.empty() && !decoder_; }
+
+    /// Whether a request waits for the end of its response.
+    bool has_exchange() const { return !exchange_.expired(); }
+
+private:
+    friend class inbound_exchange;
+
+    enum class phase
+    {
+        head,
+        body,
+        response,
+    };
+
+    void receive(std::string_view data);
+    void read_requests();
+    bool read_head();
+    bool read_body();
+    void dispatch();
+    void refuse(int status);
+    void arm_timer(duration delay);
+    void expire();
+    void finish_response(bool is_closing);
+    bool is_draining() const;
+    inbound_limits limits() const;
+
+    std::weak_ptr<inbound_server::state> server_;
+    event_loop& loop_;
+    std::unique_ptr<byte_stream> stream_;
+    std::string input_;
+    phase phase_ = phase::head;
+    std::shared_ptr<inbound_exchange> reading_;
+    std::optional<body_decoder> decoder_;
+    std::weak_ptr<inbound_exchange> exchange_;
+    timer timer_;
+    bool is_closing_ = false;
+    bool is_reading_ = false;
+};
+
+} // namespace almondcart::http1
--- /dev/null
+++ b/services/gateway/gateway.cpp
@@ -0,0 +1,356 @@
+#include "gateway.hpp"
+
+#include <almondcart/core/hash.hpp>
+#include <almondcart/core/logging.hpp>
+#include <almondcart/core/status.hpp>
+#include <almondcart/platform/exchange_headers.hpp>
+#include <almondcart/platform/operator_records.hpp>
+
+#include <spdlog/spdlog.h>
+#include <sys/stat.h>
+
+#include <csignal>
+#include <utility>
+
+#include "forward_session.hpp"
+
+namespace almondcart {
+
+namespace {
+
+/// Topics of the operator's configuration and of the registry of upstreams.
+constexpr char const* configuration_topic = "keyed.op";
+constexpr char const* configuration_key = "config";
+constexpr char const* upstream_topic = "keyed.servers";
+
+/// Pause between reads of the registry, where each upstream writes about once a second.
+constexpr duration upstream_pause{200};
+
+constexpr duration housekeeping_interval{50};
+constexpr duration settings_check_interval{1000};
+
+/// After a stop signal the load balancer still sends connections until it has missed two answers
+/// of the readiness check, which it asks for once a second.
+constexpr duration drain_time{2500};
+
+constexpr int http_ok = 200;
+constexpr int http_unavailable = 503;
+
+forwarding::prepaid_holder_settings prepaid_settings(gateway_settings const& settings)
+{
+    forwarding::prepaid_holder_settings result;
+    result.vm = settings.name;
+    result.writer =
+        settings.name + "@" + std::to_string(system_clock_source::wall_time_ms());
+    return result;
+}
+
+std::int64_t modification_time_ns(std::string const& file)
+{
+    struct stat information{};
+    if (stat(file.c_str(), &information) != 0)
+        return 0;
+    constexpr std::int64_t nanoseconds_per_second = 1'000'000'000;
+    return information.st_mtim.tv_sec * nanoseconds_per_second + information.st_mtim.tv_nsec;
+}
+
+} // namespace
+
+gateway::gateway(gateway_settings settings, std::string settings_file)
+    : settings_(std::move(settings))
+    , settings_file_(std::move(settings_file))
+    , settings_changed_ns_(modification_time_ns(settings_file_))
+    , client_(loop_)
+    , store_(client_, settings_.store_address)
+    , codec_(platform::create_exchange_codec())
+    , connections_(loop_)
+    , directory_(
+          [this](forwarding::upstream const& it)
+          {
+              spdlog::info(
+                  "[upstreams] upstream={} service={} address={} draining={} gone={}",
+                  it.entry.id,
+                  it.entry.service,
+                  it.entry.address,
+                  it.entry.is_draining,
+                  it.is_gone);
+              if (it.accepts_work())
+                  return;
+              connections_.close_idle(it.entry.id);
+              if (it.is_gone)
+                  picker_.forget(it.entry.id);
+          })
+    , picker_(
+          [this] { return loop_.now(); },
+          {.availability_zone = settings_.availability_zone,
+           .seed = hash64(settings_.name)},
+          directory_)
+    , prepaid_(
+          loop_,
+          store_,
+          prepaid_settings(settings_),
+          [this](std::string const& name) -> std::optional<std::int64_t>
+          {
+              if (context_.configuration == nullptr)
+                  return std::nullopt;
+              for (auto const& it : context_.configuration->content().accounts)
+              {
+                  if (it.name == name)
+                      return it.prepaid_tokens;
+              }
+              return std::nullopt;
+          })
+    , context_{
+          loop_,
+          settings_,
+          codec_,
+          nullptr,
+          directory_,
+          picker_,
+          prepaid_.holder(),
+          connections_,
+          metrics_,
+          {},
+          false,
+          false,
+          hash64(settings_.name, static_cast<std::uint64_t>(system_clock_source::wall_time_ms()))
+              | 1U}
+{}
+
+gateway::~gateway() = default;
+
+absl::StatusOr<std::unique_ptr<gateway>>
+gateway::create(gateway_settings settings, std::string settings_file)
+{
+    std::unique_ptr<gateway> result(new gateway(std::move(settings), std::move(settings_file)));
+    if (auto status = result->listen(); !status.ok())
+        return status;
+    return result;
+}
+
+absl::Status gateway::listen()
+{
+    auto server = http1::inbound_server::create(
+        loop_,
+        settings_.listen,
+        [this](std::shared_ptr<http1::inbound_exchange> it) { handle(std::move(it)); });
+    if (!server.ok())
+        return server.status();
+    server_ = *std::move(server);
+    auto readiness = http_server::create(loop_, {settings_.readiness_listen});
+    if (!readiness.ok())
+        return readiness.status();
+    readiness_server_ = *std::move(readiness);
+    readiness_server_->route(
+        "*",
+        "/",
+        [this](std::shared_ptr<http_exchange> const& it) { answer_readiness(*it); });
+    auto status_server = http_server::create(loop_, {settings_.status_listen});
+    if (!status_server.ok())
+        return status_server.status();
+    status_server_ = *std::move(status_server);
+    metrics_.registry().serve(*status_server_);
+    return absl::OkStatus();
+}
+
+void gateway::run()
+{
+    start();
+    loop_.run();
+    spdlog::info("[gateway] stopped");
+}
+
+void gateway::start()
+{
+    spdlog::info(
+        "[gateway] started vm={} availability_zone={} listen={}",
+        settings_.name,
+        settings_.availability_zone,
+        settings_.listen);
+    loop_.on_stop_signal([this] { begin_stop(); });
+    follow_configuration();
+    follow_upstreams();
+    prepaid_.start();
+    loop_.every(housekeeping_interval, [this] { housekeep(); });
+    loop_.every(settings_check_interval, [this] { check_settings(); });
+}
+
+void gateway::follow_configuration()
+{
+    platform::keyed_topic::hooks hooks;
+    auto const apply = [this](platform::keyed_record const& record)
+    {
+        if (record.key == configuration_key && record.value)
+            apply_configuration(*record.value, record.offset);
+    };
+    hooks.on_snapshot = [apply](auto const& records, std::int64_t /*end*/)
+    {
+        for (auto const& [key, record] : records)
+            apply(record);
+    };
+    hooks.on_record = apply;
+    hooks.on_position = [](std::int64_t) {};
+    hooks.on_lost = [](platform::store_error error)
+    { spdlog::warn("[config] lost the store: {}", platform::name_of(error)); };
+    hooks.on_regained = [] { spdlog::info("[config] regained the store"); };
+    configuration_topic_ = std::make_unique<platform::keyed_topic>(
+        loop_,
+        store_,
+        platform::keyed_topic_settings{.topic = configuration_topic},
+        std::move(hooks));
+    configuration_topic_->start();
+}
+
+void gateway::apply_configuration(std::string const& text, std::int64_t offset)
+{
+    auto content = platform::decode_configuration(text);
+    if (!content.ok())
+    {
+        spdlog::error("[config] offset={} rejected: {}", offset, message_of(content.status()));
+        return;
+    }
+    auto const& current = context_.configuration;
+    if (current != nullptr && content->version <= current->version())
+        return;
+    auto const& limits = content->limits;
+    server_->set_limits(
+        {limits.header_bytes, limits.body_bytes, limits.header_timeout, limits.idle_timeout});
+    spdlog::info(
+        "[config] version={} offset={} routes={} services={} accounts={} in force",
+        content->version,
+        offset,
+        content->routes.size(),
+        content->services.size(),
+        content->accounts.size());
+    context_.configuration =
+        std::make_shared<forwarding::configuration_view const>(*std::move(content));
+    update_readiness();
+}
+
+void gateway::follow_upstreams()
+{
+    platform::keyed_topic::hooks hooks;
+    hooks.on_snapshot = [this](auto const& records, std::int64_t /*end*/)
+    {
+        std::map<std::string, forwarding::upstream_entry> entries;
+        for (auto const& [key, record] : records)
+        {
+            if (!record.value)
+                continue;
+            if (auto entry = platform::decode_upstream(key, *record.value); entry.ok())
+                entries.emplace(key, *std::move(entry));
+        }
+        directory_.replace_all(std::move(entries));
+        update_readiness();
+    };
+    hooks.on_record = [this](platform::keyed_record const& record) { apply_upstream(record); };
+    hooks.on_position = [](std::int64_t) {};
+    hooks.on_lost = [](platform::store_error error)
+    { spdlog::warn("[upstreams] lost the store: {}", platform::name_of(error)); };
+    hooks.on_regained = [] { spdlog::info("[upstreams] regained the store"); };
+    upstream_topic_ = std::make_unique<platform::keyed_topic>(
+        loop_,
+        store_,
+        platform::keyed_topic_settings{.topic = upstream_topic, .pause = upstream_pause},
+        std::move(hooks));
+    upstream_topic_->start();
+}
+
+void gateway::apply_upstream(platform::keyed_record const& record)
+{
+    if (!record.value)
+    {
+        directory_.apply(record.key, std::nullopt);
+        return;
+    }
+    auto entry = platform::decode_upstream(record.key, *record.value);
+    if (entry.ok())
+    {
+        directory_.apply(record.key, *std::move(entry));
+        return;
+    }
+    spdlog::warn(
+        "[upstreams] upstream={} offset={} not usable: {}",
+        record.key,
+        record.offset,
+        message_of(entry.status()));
+    directory_.apply(record.key, std::nullopt);
+}
+
+void gateway::handle(std::shared_ptr<http1::inbound_exchange> exchange)
+{
+    std::make_shared<forward_session>(context_, std::move(exchange))->start();
+}
+
+void gateway::update_readiness()
+{
+    bool const is_ready = context_.configuration != nullptr && upstream_topic_ != nullptr
+                          && directory_.size() > 0 && prepaid_.is_synced();
+    if (is_ready && !std::exchange(context_.is_ready, true))
+        spdlog::info("[gateway] ready");
+}
+
+void gateway::answer_readiness(http_exchange& exchange) const
+{
+    bool const is_ready = context_.is_ready && !context_.is_stopping;
+    exchange.respond_text(
+        is_ready ? http_ok : http_unavailable, "text/plain", is_ready ? "ready" : "not ready");
+}
+
+void gateway::housekeep()
+{
+    update_readiness();
+    flush_output_logging();
+    prepaid_.holder().tick();
+    connections_.expire();
+    metrics_.set_gauges(
+        server_->connection_count(), connections_.opened_count(), store_.call_count());
+    if (context_.is_stopping)
+        try_stop();
+}
+
+void gateway::check_settings()
+{
+    auto const changed = modification_time_ns(settings_file_);
+    if (changed != std::exchange(settings_changed_ns_, changed))
+        reload();
+}
+
+void gateway::reload()
+{
+    auto const settings = gateway_settings::load(settings_file_);
+    if (!settings.ok())
+    {
+        spdlog::error("[gateway] settings not reloaded: {}", message_of(settings.status()));
+        return;
+    }
+    settings_.shutdown_timeout = settings->shutdown_timeout;
+    settings_.retry_share = settings->retry_share;
+    context_.retries.clear();
+    spdlog::info("[gateway] settings reloaded");
+}
+
+void gateway::begin_stop()
+{
+    if (std::exchange(context_.is_stopping, true))
+        return;
+    spdlog::info("[gateway] stopping requests={}", server_->exchange_count());
+    stop_began_ = loop_.now();
+    server_->begin_drain();
+}
+
+void gateway::try_stop()
+{
+    auto const elapsed = loop_.now() - stop_began_;
+    if (elapsed < drain_time)
+        return;
+    server_->close_idle();
+    bool const is_idle = server_->exchange_count() == 0;
+    if (is_idle)
+        prepaid_.holder().begin_shutdown();
+    bool const is_settled = is_idle && !prepaid_.holder().is_busy();
+    if (is_settled || elapsed >= settings_.shutdown_timeout)
+        loop_.stop();
+}
+
+} // namespace almondcart
--- /dev/null
+++ b/services/gateway/gateway.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <almondcart/http/http_client.hpp>
+#include <almondcart/http/http_server.hpp>
+#include <almondcart/http1/inbound_server.hpp>
+#include <almondcart/platform/keyed_topic.hpp>
+#include <almondcart/platform/store_client.hpp>
+
+#include <memory>
+#include <string>
+
+#include "gateway_context.hpp"
+#include "prepaid_log.hpp"
+
+namespace almondcart {
+
+/// The process: follows the platform's store, answers callers and the load balancer.
+class gateway
+{
+public:
+    static absl::StatusOr<std::unique_ptr<gateway>>
+    create(gateway_settings settings, std::string settings_file);
+
+    ~gateway();
+    gateway(gateway const&) = delete;
+    gateway& operator=(gateway const&) = delete;
+
+    /// Serves until a stop signal, then ends gracefully.
+    void run();
+
+private:
+    gateway(gateway_settings settings, std::string settings_file);
+
+    absl::Status listen();
+    void start();
+    void follow_configuration();
+    void follow_upstreams();
+    void apply_configuration(std::string const& text, std::int64_t offset);
+    void apply_upstream(platform::keyed_record const& record);
+    void handle(std::shared_ptr<http1::inbound_exchange> exchange);
+    void answer_readiness(http_exchange& exchange) const;
+    void update_readiness();
+    void housekeep();
+    void check_settings();
+    void reload();
+    void begin_stop();
+    void try_stop();
+
+    gateway_settings settings_;
+    std::string settings_file_;
+    std::int64_t settings_changed_ns_ = 0;
+    event_loop loop_;
+    http_client client_;
+    platform::store_client store_;
+    forwarding::exchange_codec codec_;
+    upstream_connections connections_;
+    forwarding::upstream_directory directory_;
+    forwarding::upstream_picker picker_;
+    gateway_metrics metrics_;
+    prepaid_log prepaid_;
+    gateway_context context_;
+    std::unique_ptr<platform::keyed_topic> configuration_topic_;
+    std::unique_ptr<platform::keyed_topic> upstream_topic_;
+    std::unique_ptr<http_server> readiness_server_;
+    std::unique_ptr<http_server> status_server_;
+    std::unique_ptr<http1::inbound_server> server_;
+    instant stop_began_{};
+};
+
+} // namespace almondcart
--- /dev/null
+++ b/services/gateway/gateway_context.cpp
@@ -0,0 +1,39 @@
+#include "gateway_context.hpp"
+
+namespace almondcart {
+
+namespace {
+
+/// Retries per second that a quiet router may make, and unused ones that are kept. Both are small,
+/// because all routers together share the allowance of a service.
+constexpr double retry_floor_per_s = 0.3;
+constexpr double retry_burst = 4;
+
+} // namespace
+
+retry_budget& gateway_context::retries_of(std::string const& service)
+{
+    auto const it = retries.find(service);
+    if (it != retries.end())
+        return it->second;
+    retry_budget_settings const limits{settings.retry_share, retry_floor_per_s, retry_burst};
+    return retries.emplace(service, retry_budget([this] { return loop.now(); }, limits))
+        .first->second;
+}
+
+std::uint64_t gateway_context::next_random()
+{
+    // xorshift64
+    random ^= random << 13U;
+    random ^= random >> 7U;
+    random ^= random << 17U;
+    return random;
+}
+
+duration gateway_context::spread(duration low, duration high)
+{
+    auto const range = static_cast<std::uint64_t>((high - low).count()) + 1;
+    return low + duration(static_cast<std::int64_t>(next_random() % range));
+}
+
+} // namespace almondcart
--- /dev/null
+++ b/services/gateway/gateway_context.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <almondcart/forwarding/configuration.hpp>
+#include <almondcart/forwarding/exchange_codec.hpp>
+#include <almondcart/forwarding/prepaid_holder.hpp>
+#include <almondcart/forwarding/upstream_directory.hpp>
+#include <almondcart/forwarding/upstream_picker.hpp>
+#include <almondcart/http/event_loop.hpp>
+#include <almondcart/routing/retry_budget.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "gateway_metrics.hpp"
+#include "gateway_settings.hpp"
+#include "upstream_connections.hpp"
+
+namespace almondcart {
+
+/// What the sessions of a gateway share. All members outlive the sessions.
+struct gateway_context
+{
+    event_loop& loop;
+    gateway_settings const& settings;
+    forwarding::exchange_codec const& codec;
+    forwarding::configuration_pointer configuration; ///< null until one is known
+    forwarding::upstream_directory& directory;
+    forwarding::upstream_picker& picker;
+    forwarding::prepaid_holder& prepaid;
+    upstream_connections& connections;
+    gateway_metrics& metrics;
+    std::map<std::string, retry_budget> retries; ///< by service
+    bool is_ready = false;
+    bool is_stopping = false;
+    std::uint64_t random = 1;
+
+    retry_budget& retries_of(std::string const& service);
+
+    /// Next pseudo-random number.
+    std::uint64_t next_random();
+
+    /// Value between `low` and `high`, so that callers do not return together.
+    duration spread(duration low, duration high);
+};
+
+} // namespace almondcart
--- /dev/null
+++ b/services/gateway/gateway_metrics.cpp
@@ -0,0 +1,76 @@
+#include "gateway_metrics.hpp"
+
+namespace almondcart {
+
+namespace {
+
+prometheus::Histogram::BucketBoundaries const& latency_bounds_s()
+{
+    static prometheus::Histogram::BucketBoundaries const bounds{
+        0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 1, 2, 5, 15};
+    return bounds;
+}
+
+double seconds(duration time)
+{
+    return std::chrono::duration<double>(time).count();
+}
+
+} // namespace
+
+void gateway_metrics::count_outcome(std::string_view kind, std::string_view outcome)
+{
+    metrics_
+        .counter(
+            "almondcart_requests_total",
+            "Requests by kind and outcome",
+            {{"kind", std::string(kind)}, {"outcome", std::string(outcome)}})
+        .Increment();
+}
+
+void gateway_metrics::count_attempt(std::string_view result)
+{
+    metrics_
+        .counter(
+            "almondcart_attempts_total",
+            "Requests sent to upstreams by result",
+            {{"result", std::string(result)}})
+        .Increment();
+}
+
+void gateway_metrics::observe_first_byte(std::string_view kind, duration time)
+{
+    metrics_
+        .histogram(
+            "almondcart_first_byte_seconds",
+            "Time from a request to the first byte of its answer",
+            latency_bounds_s(),
+            {{"kind", std::string(kind)}})
+        .Observe(seconds(time));
+}
+
+void gateway_metrics::observe_total(std::string_view kind, duration time)
+{
+    metrics_
+        .histogram(
+            "almondcart_request_seconds",
+            "Time from a request to the end of its answer",
+            latency_bounds_s(),
+            {{"kind", std::string(kind)}})
+        .Observe(seconds(time));
+}
+
+void gateway_metrics::set_gauges(
+    std::size_t connections,
+    std::size_t opened,
+    std::int64_t store_calls)
+{
+    metrics_.gauge("almondcart_client_connections", "Open client connections")
+        .Set(static_cast<double>(connections));
+    metrics_.gauge("almondcart_upstream_connections_opened", "Connections opened to upstreams")
+        .Set(static_cast<double>(opened));
+    metrics_.gauge("almondcart_store_calls", "Calls to the platform's store")
+        .Set(static_cast<double>(store_calls));
+}
+
+} // namespace almondcart
--- /dev/null
+++ b/services/gateway/gateway_metrics.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <almondcart/core/instant.hpp>
+#include <almondcart/http/metrics.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace almondcart {
+
+/// Metrics of a gateway.
+class gateway_metrics
+{
+public:
+    void count_outcome(std::string_view kind, std::string_view outcome);
+    void count_attempt(std::string_view result);
+    void observe_first_byte(std::string_view kind, duration time);
+    void observe_total(std::string_view kind, duration time);
+    void set_gauges(std::size_t connections, std::size_t opened, std::int64_t store_calls);
+    metrics& registry() { return metrics_; }
+
+private:
+    metrics metrics_;
+};
+
+} // namespace almondcart
--- /dev/null
+++ b/services/gateway/gateway_settings.cpp
@@ -0,0 +1,37 @@
+#include "gateway_settings.hpp"
+
+#include <almondcart/core/json_members.hpp>
+#include <almondcart/core/settings_file.hpp>
+
+namespace almondcart {
+
+absl::StatusOr<gateway_settings> gateway_settings::load(std::string const& file)
+{
+    auto const value = read_settings_file(file);
+    if (!value.ok())
+        return value.status();
+    gateway_settings settings;
+    json_reader reader(*value, file, result_code::invalid_settings);
+    settings.name = read_name(reader, "name");
+    settings.availability_zone = read_name(reader, "availability_zone");
+    settings.listen = read_address(reader, "listen");
+    settings.readiness_listen = read_address(reader, "readiness_listen");
+    settings.status_listen = read_address(reader, "status_listen");
+    settings.store_address = read_address(reader, "store_address");
+    settings.log_level = read_log_level_or(reader, "log_level", settings.log_level);
+    settings.shutdown_timeout =
+        reader.milliseconds_or("shutdown_timeout_ms", settings.shutdown_timeout);
+    constexpr double percent = 100;
+    constexpr std::int64_t percent_limit = 100;
+    settings.retry_share = static_cast<double>(reader.integer_or(
+                               "retry_percent",
+                               0,
+                               percent_limit,
+                               static_cast<std::int64_t>(settings.retry_share * percent)))
+                           / percent;
+    if (auto status = reader.finish(); !status.ok())
+        return status;
+    return settings;
+}
+
+} // namespace almondcart
--- /dev/null
+++ b/services/gateway/gateway_settings.hpp
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <almondcart/core/instant.hpp>
+
+#include <absl/status/statusor.h>
+
+#include <string>
+
+namespace almondcart {
+
+/// Settings of a gateway process, read from a JSON file. docs/configuration.md lists the members.
+struct gateway_settings
+{
+    std::string name; ///< of the VM
+    std::string availability_zone;
+    std::string listen;           ///< "ip:port" for callers
+    std::string readiness_listen; ///< "ip:port" for the load balancer
+    std::string status_listen;    ///< "ip:port" for metrics
+    std::string store_address;    ///< "ip:port" of the platform's store
+    std::string log_level = "info";
+    duration shutdown_timeout{6000}; ///< longest graceful stop
+    double retry_share = 0.1;        ///< repeated attempts per first attempt
+
+    /// Errors carry `invalid_settings` and name file, member and what was expected.
+    static absl::StatusOr<gateway_settings> load(std::string const& file);
+};
+
+} // namespace almondcart
--- /dev/null
+++ b/services/gateway/main.cpp
@@ -0,0 +1,67 @@
+#include <almondcart/core/logging.hpp>
+#include <almondcart/core/status.hpp>
+
+#include <cxxopts.hpp>
+
+#include <iostream>
+
+#include "gateway.hpp"
+
+namespace {
+
+constexpr int exit_invalid_settings = 2;
+
+int report(absl::Status const& status)
+{
+    std::cerr << "almondcart-gateway: " << almondcart::message_of(status) << "\n";
+    return exit_invalid_settings;
+}
+
+int run(std::string const& file, bool is_check)
+{
+    auto settings = almondcart::gateway_settings::load(file);
+    if (!settings.ok())
+        return report(settings.status());
+    if (is_check)
+    {
+        std::cout << file << ": valid\n";
+        return 0;
+    }
+    if (auto const status = almondcart::set_up_output_logging(settings->name, settings->log_level);
+        !status.ok())
+        return report(status);
+    auto const gateway = almondcart::gateway::create(*std::move(settings), file);
+    if (!gateway.ok())
+        return report(gateway.status());
+    (*gateway)->run();
+    almondcart::flush_output_logging();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options(
+        "almondcart-gateway",
+        "Forwards requests of callers to upstreams on prepaid token budgets; see "
+        "docs/configuration.md.");
+    options.add_options()("settings", "JSON settings file", cxxopts::value<std::string>())(
+        "check", "check the settings file and exit")("help", "print this help");
+    try
+    {
+        auto const parsed = options.parse(argc, argv);
+        if (parsed.count("help") > 0)
+        {
+            std::cout << options.help()
+                      << "\nExample: almondcart-gateway --settings gateway.json\n";
+            return 0;
+        }
+        return run(parsed["settings"].as<std::string>(), parsed.count("check") > 0);
+    }
+    catch (cxxopts::exceptions::exception const& error)
+    {
+        std::cerr << "almondcart-gateway: " << error.what() << "\n" << options.help();
+        return exit_invalid_settings;
+    }
+}
--- /dev/null
+++ b/services/gateway/prepaid_log.hpp
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <almondcart/forwarding/prepaid_holder.hpp>
+#include <almondcart/platform/keyed_topic.hpp>
+
+#include <vector>
+
+namespace almondcart {
+
+/// Connects a `prepaid_holder` with its topic on the platform's log.
+class prepaid_log
+{
+public:
+    /// Topic with one record for each client account and VM.
+    static constexpr char const* topic = "keyed.prepaid-draws";
+
+    prepaid_log(
+        event_loop& loop,
+        platform::store_client& store,
+        forwarding::prepaid_holder_settings settings,
+        forwarding::prepaid_holder::total_function total);
+
+    void start() { follower_.start(); }
+    forwarding::prepaid_holder& holder() { return holder_; }
+    bool is_synced() const { return follower_.is_synced(); }
+
+private:
+    platform::keyed_topic::hooks create_hooks();
+    void append(
+        std::int64_t at,
+        std::vector<forwarding::draw_record> const& records,
+        std::function<void(forwarding::append_outcome)> done);
+    void apply(platform::keyed_record const& record);
+
+    platform::store_client& store_;
+    forwarding::prepaid_holder holder_;
+    platform::keyed_topic follower_;
+};
+
+} // namespace almondcart
