Prepaid: Hold tokens ahead for an outage of the log, by share of demand

Ruled out: equal shares for each router, because callers are spread unevenly over them.

Change: each draw states its writer's demand; routers hold up to 15 s of their demand, together about half of what is left; a log that has not answered for 300 ms counts as lost for requests that would need it. Tests: routers_cut_from_the_log_serve_from_what_ they_hold and a_request_that_needs_a_silent_log_is_refused_at_once, both seen failing.

--- a/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
@@ -35,8 +35,10 @@
 {
     std::string vm;
     std::string writer;           ///< names this start of the process
-    duration horizon{2000};       ///< demand that is drawn ahead, to outlast short log outages
+    duration horizon{15'000};     ///< demand that is drawn ahead, to outlast an outage of the log
     duration demand_window{2000}; ///< time constant of the demand estimate
+    duration draw_interval{500};  ///< between two draws that no request waits for
+    duration silence_limit{300};  ///< after which a log that does not answer counts as lost
     duration retry_interval{50};  ///< after a conflict or a refusal
     duration unknown_interval{400}; ///< before an append without an answer is sent again
     duration return_interval{500};  ///< between two looks for tokens to give back
@@ -62,8 +64,8 @@
         append_function append,
         total_function total);
 
-    /// Reserves `tokens` and calls `done`, at once if the process holds enough, or after a draw on
-    /// the log, `patience` from now at the latest.
+    /// Reserves `tokens` and calls `done`, at once if the process holds enough or the log is lost, or
+    /// after a draw on the log, `patience` from now at the latest.
     void reserve(
         std::string const& account,
         std::int64_t tokens,
@@ -115,6 +117,7 @@
         std::uint64_t sequence = 0;
         std::vector<draw_record> records;
         std::map<std::string, std::int64_t> deltas; ///< tokens by account, negative if given back
+        instant first_sent{};
         bool is_in_flight = false;
         bool is_unknown = false;
     };
@@ -122,6 +125,7 @@
     std::int64_t remaining(std::string const& account) const;
     std::int64_t target_free(std::string const& account, account_state const& state) const;
     std::int64_t wanted_delta(std::string const& account, account_state const& state) const;
+    bool is_log_silent() const;
     void update_demand(account_state& state);
     void serve_waiting();
     void start_append();
@@ -140,7 +144,9 @@
     std::uint64_t next_sequence_ = 1;
     instant next_attempt_{};
     instant next_return_{};
+    instant next_draw_{};
     bool is_return_due_ = false;
+    bool is_draw_due_ = false;
     bool is_stopping_ = false;
     bool is_serving_ = false;
 };
--- a/libraries/forwarding/include/almondcart/forwarding/prepaid_ledger.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/prepaid_ledger.hpp
@@ -28,6 +28,7 @@
     std::int64_t drawn_tokens = 0; ///< in total, less what was given back
     std::string writer;            ///< start of a process that wrote the record
     std::uint64_t sequence = 0;    ///< number of the append among those of `writer`
+    std::int64_t demand_per_s = 0; ///< tokens that the owner's callers ask for
 
     /// Key of the record in its topic.
     std::string key() const;
@@ -55,8 +56,9 @@
     std::int64_t drawn(std::string_view account) const;
     std::int64_t drawn_by(draw_owner const& owner) const;
 
-    /// VMs that have drawn from an account.
-    std::size_t owner_count(std::string_view account) const;
+    /// Demand of all owners of an account, in tokens per second, as they last stated it.
+    std::int64_t demand(std::string_view account) const;
+    std::int64_t demand_of(draw_owner const& owner) const;
 
     /// Offset of the first record that the ledger does not know.
     std::int64_t end() const { return end_; }
@@ -65,15 +67,15 @@
     std::uint64_t last_sequence(std::string_view writer) const;
 
 private:
-    struct account_state
+    struct totals
     {
         std::int64_t drawn_tokens = 0;
-        std::size_t owners = 0;
+        std::int64_t demand_per_s = 0;
     };
 
     std::int64_t end_ = 0;
-    std::map<draw_owner, std::int64_t> by_owner_;
-    std::map<std::string, account_state, std::less<>> by_account_;
+    std::map<draw_owner, totals> by_owner_;
+    std::map<std::string, totals, std::less<>> by_account_;
     std::map<std::string, std::uint64_t, std::less<>> sequences_;
 };
 
--- a/libraries/forwarding/src/prepaid_holder.cpp
+++ b/libraries/forwarding/src/prepaid_holder.cpp
@@ -11,8 +11,12 @@
 
 constexpr double milliseconds_per_second = 1000;
 
-/// Part of what is left of a total that all routers together may draw ahead.
-constexpr double ahead_share = 0.5;
+/// Part of what is left of a total that routers may draw ahead. Each counts what it holds itself as
+/// left, so routers together hold about half of the rest.
+constexpr double ahead_share = 0.8;
+
+/// Part of its target below which a router draws without a waiting request.
+constexpr double low_mark = 0.85;
 
 } // namespace
 
@@ -93,6 +97,11 @@
     return total ? std::max<std::int64_t>(0, *total - ledger_.drawn(account)) : 0;
 }
 
+bool prepaid_holder::is_log_silent() const
+{
+    return pending_ && clock_() - pending_->first_sent >= settings_.silence_limit;
+}
+
 void prepaid_holder::update_demand(account_state& state)
 {
     auto const now = clock_();
@@ -114,11 +123,16 @@
         return 0;
     double const horizon_s =
         static_cast<double>(settings_.horizon.count()) / milliseconds_per_second;
-    auto const routers = std::max<std::size_t>(1, ledger_.owner_count(account));
+    draw_owner const self{account, settings_.vm};
+    double const others =
+        static_cast<double>(ledger_.demand(account) - ledger_.demand_of(self));
+    double const demand = state.demand_per_s;
+    if (demand <= 0)
+        return 0;
     // Counts what this process holds as left, so that the target does not depend on its own draws.
     double const left = static_cast<double>(remaining(account) + state.free_tokens);
-    double const share = ahead_share * left / static_cast<double>(routers);
-    return static_cast<std::int64_t>(std::min(state.demand_per_s * horizon_s, share));
+    double const share = ahead_share * left * demand / (demand + std::max(0.0, others));
+    return static_cast<std::int64_t>(std::min(demand * horizon_s, share));
 }
 
 std::int64_t
@@ -132,7 +146,9 @@
             needed += it.tokens;
     }
     auto const target = target_free(account, state);
-    bool const is_low = state.free_tokens < needed + target / 2;
+    auto const mark = static_cast<std::int64_t>(low_mark * static_cast<double>(target));
+    bool const is_low =
+        state.free_tokens < needed || (is_draw_due_ && state.free_tokens < needed + mark);
     if (is_low)
         return std::clamp<std::int64_t>(needed + target - state.free_tokens, 0, left);
     auto const excess = state.free_tokens - needed - 2 * target;
@@ -155,7 +171,7 @@
         {
             auto& next = state.waiting.front();
             bool const is_covered = state.free_tokens >= next.tokens;
-            bool const is_expired = now >= next.expires;
+            bool const is_expired = now >= next.expires || is_log_silent();
             bool const is_beyond =
                 !pending_ && next.tokens - state.free_tokens > remaining(account);
             if (!is_covered && !is_expired && !is_beyond)
@@ -179,6 +195,7 @@
     auto const now = clock_();
     for (auto& [account, state] : accounts_)
         update_demand(state);
+    is_draw_due_ = now >= next_draw_;
     is_return_due_ = now >= next_return_;
     if (is_return_due_)
         next_return_ = now + settings_.return_interval;
@@ -200,7 +217,12 @@
             continue;
         draw_owner owner{account, settings_.vm};
         auto const drawn = ledger_.drawn_by(owner) + delta;
-        append.records.push_back({std::move(owner), drawn, settings_.writer, next_sequence_});
+        append.records.push_back(
+            {std::move(owner),
+             drawn,
+             settings_.writer,
+             next_sequence_,
+             static_cast<std::int64_t>(state.demand_per_s)});
         append.deltas.emplace(account, delta);
         // Tokens that are given back must not be spent from here on.
         if (delta < 0)
@@ -210,6 +232,8 @@
         return;
     append.at = ledger_.end();
     append.sequence = next_sequence_++;
+    append.first_sent = clock_();
+    next_draw_ = clock_() + settings_.draw_interval;
     pending_ = std::move(append);
     send();
 }
--- a/libraries/forwarding/src/prepaid_ledger.cpp
+++ b/libraries/forwarding/src/prepaid_ledger.cpp
@@ -25,6 +25,7 @@
     value["drawn_tokens"] = Json::Int64(drawn_tokens);
     value["writer"] = writer;
     value["sequence"] = Json::UInt64(sequence);
+    value["demand_per_s"] = Json::Int64(demand_per_s);
     return to_compact_json(value);
 }
 
@@ -44,6 +45,7 @@
     record.drawn_tokens = reader.integer("drawn_tokens", 0, maximum);
     record.writer = reader.string("writer");
     record.sequence = static_cast<std::uint64_t>(reader.integer("sequence", 0, maximum));
+    record.demand_per_s = reader.integer("demand_per_s", 0, maximum);
     if (auto status = reader.finish(); !status.ok())
         return status;
     return record;
@@ -54,11 +56,11 @@
     if (offset < end_)
         return;
     end_ = offset + 1;
-    auto const [it, is_new] = by_owner_.try_emplace(record.owner, 0);
+    auto& owner = by_owner_[record.owner];
     auto& account = by_account_[record.owner.account];
-    account.owners += is_new ? 1 : 0;
-    account.drawn_tokens += record.drawn_tokens - it->second;
-    it->second = record.drawn_tokens;
+    account.drawn_tokens += record.drawn_tokens - owner.drawn_tokens;
+    account.demand_per_s += record.demand_per_s - owner.demand_per_s;
+    owner = {record.drawn_tokens, record.demand_per_s};
     auto& sequence = sequences_[record.writer];
     sequence = std::max(sequence, record.sequence);
 }
@@ -82,13 +84,19 @@
 std::int64_t prepaid_ledger::drawn_by(draw_owner const& owner) const
 {
     auto const it = by_owner_.find(owner);
-    return it == by_owner_.end() ? 0 : it->second;
+    return it == by_owner_.end() ? 0 : it->second.drawn_tokens;
 }
 
-std::size_t prepaid_ledger::owner_count(std::string_view account) const
+std::int64_t prepaid_ledger::demand(std::string_view account) const
 {
     auto const it = by_account_.find(account);
-    return it == by_account_.end() ? 0 : it->second.owners;
+    return it == by_account_.end() ? 0 : it->second.demand_per_s;
+}
+
+std::int64_t prepaid_ledger::demand_of(draw_owner const& owner) const
+{
+    auto const it = by_owner_.find(owner);
+    return it == by_owner_.end() ? 0 : it->second.demand_per_s;
 }
 
 std::uint64_t prepaid_ledger::last_sequence(std::string_view writer) const
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -224,6 +224,13 @@
         content->accounts.size());
     context_.configuration =
         std::make_shared<forwarding::configuration_view const>(*std::move(content));
+    for (auto const& it : context_.configuration->content().accounts)
+        spdlog::info(
+            "[config] version={} account={} prepaid={} drawn={}",
+            context_.configuration->version(),
+            it.name,
+            it.prepaid_tokens.value_or(-1),
+            prepaid_.holder().ledger().drawn(it.name));
     update_readiness();
 }
 
--- /dev/null
+++ b/tests/prepaid.cpp
@@ -0,0 +1,139 @@
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include "prepaid_fleet.hpp"
+
+using namespace almondcart;
+using almondcart::forwarding::reservation;
+using almondcart::testing::fake_draw_log;
+using almondcart::testing::prepaid_fleet;
+using fault = almondcart::testing::fake_draw_log::fault;
+
+// Guards against routers that each believe that the whole total is theirs.
+Test(prepaid, routers_together_never_spend_more_than_the_total)
+{
+    prepaid_fleet fleet(4, 100'000);
+    fleet.run(duration(20'000), 5'000, 500);
+    cr_assert_leq(fleet.spent(), fleet.total());
+    cr_assert_geq(fleet.spent(), fleet.total() * 97 / 100, "tokens were left unused");
+    cr_assert_gt(fleet.count(reservation::exhausted), 0);
+}
+
+// Guards against refusals while the log cannot be reached although the total covers the demand.
+Test(prepaid, routers_cut_from_the_log_serve_from_what_they_hold)
+{
+    prepaid_fleet fleet(4, 4'000'000);
+    fleet.run(duration(6'000), 20'000, 2'000);
+    for (int i = 0; i < 4; ++i)
+        fleet.set_fault(i, fault::cut);
+    fleet.run(duration(9'000), 20'000, 2'000);
+    cr_assert_eq(fleet.count(reservation::unavailable), 0);
+    cr_assert_eq(fleet.count(reservation::exhausted), 0);
+}
+
+// Guards against holding requests back while the log does not answer.
+Test(prepaid, a_request_that_needs_a_silent_log_is_refused_at_once)
+{
+    prepaid_fleet fleet(1, 1'000'000);
+    fleet.set_fault(0, fault::cut);
+    fleet.request(0, 100);
+    fleet.advance(duration(300));
+    cr_assert_eq(fleet.count(reservation::unavailable), 1);
+    fleet.request(0, 100);
+    cr_assert_eq(fleet.count(reservation::unavailable), 2);
+}
+
+// Guards against a top-up that is not used, and against one that is used before it is known.
+Test(prepaid, a_top_up_is_spent_once_it_is_known)
+{
+    prepaid_fleet fleet(2, 10'000);
+    fleet.run(duration(3'000), 10'000, 500);
+    cr_assert_leq(fleet.spent(), 10'000);
+    fleet.set_total(20'000);
+    fleet.run(duration(3'000), 10'000, 500);
+    cr_assert_leq(fleet.spent(), 20'000);
+    cr_assert_geq(fleet.spent(), 19'400);
+}
+
+// Guards against a draw that is counted twice, or not at all, because its answer was lost.
+Test(prepaid, an_append_without_an_answer_is_counted_once)
+{
+    prepaid_fleet fleet(2, 50'000);
+    fleet.run(duration(1'000), 5'000, 500);
+    fleet.set_fault(0, fault::answer_lost);
+    fleet.run(duration(500), 5'000, 500);
+    fleet.set_fault(0, fault::none);
+    fleet.run(duration(20'000), 5'000, 500);
+    cr_assert_leq(fleet.spent(), fleet.total());
+    cr_assert_geq(fleet.spent(), fleet.total() * 90 / 100);
+}
+
+// Guards against spending tokens that went down with a router and were drawn again.
+Test(prepaid, restarted_routers_never_spend_more_than_the_total)
+{
+    prepaid_fleet fleet(3, 300'000);
+    for (int i = 0; i < 3; ++i)
+    {
+        fleet.run(duration(3'000), 10'000, 1'000);
+        fleet.start(i);
+    }
+    fleet.run(duration(30'000), 10'000, 1'000);
+    cr_assert_leq(fleet.spent(), fleet.total());
+}
+
+// Guards against overspending under any sequence of cuts, lost and late appends, restarts and
+// top-ups.
+Test(prepaid, no_sequence_of_faults_overspends)
+{
+    bool const is_held = rc::check(
+        "spent tokens stay within the total",
+        []
+        {
+            prepaid_fleet fleet(3, 60'000);
+            auto const steps = *rc::gen::inRange(5, 40);
+            for (int n = 0; n < steps; ++n)
+            {
+                int const router = *rc::gen::inRange(0, 3);
+                switch (*rc::gen::inRange(0, 6))
+                {
+                case 0:
+                    fleet.set_fault(router, fault::cut);
+                    break;
+                case 1:
+                    fleet.set_fault(router, fault::answer_lost);
+                    break;
+                case 2:
+                    fleet.set_fault(router, fault::late);
+                    break;
+                case 3:
+                    fleet.start(router);
+                    break;
+                case 4:
+                    fleet.log().deliver_late();
+                    break;
+                default:
+                    fleet.set_fault(router, fault::none);
+                    break;
+                }
+                fleet.run(
+                    duration(*rc::gen::inRange(10, 1500)),
+                    *rc::gen::inRange(0, 10'000),
+                    *rc::gen::inRange(1, 2'000));
+                RC_ASSERT(fleet.spent() <= fleet.total());
+            }
+        });
+    cr_assert(is_held);
+}
+
+// Guards against records that another process cannot read.
+Test(prepaid, a_record_survives_its_text_form)
+{
+    forwarding::draw_record const record{{"club", "vm-1"}, 12'345, "vm-1@7", 9, 250};
+    auto const parsed = forwarding::draw_record::parse(record.key(), record.value());
+    cr_assert(parsed.ok());
+    cr_assert_eq(parsed->owner, record.owner);
+    cr_assert_eq(parsed->drawn_tokens, record.drawn_tokens);
+    cr_assert_eq(parsed->demand_per_s, record.demand_per_s);
+    cr_assert_not(forwarding::draw_record::parse("club/vm-1", "{\"drawn_tokens\":-1}").ok());
+    cr_assert_not(forwarding::draw_record::parse("club", record.value()).ok());
+}
--- /dev/null
+++ b/tests/prepaid_fleet.hpp
@@ -0,0 +1,178 @@
+#pragma once
+
+#include <almondcart/core/clock.hpp>
+#include <almondcart/forwarding/prepaid_holder.hpp>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace almondcart::testing {
+
+/// Keyed topic in memory that compares the end before it appends, with lost and late appends.
+class fake_draw_log
+{
+public:
+    using outcome = forwarding::append_outcome;
+    using record = forwarding::draw_record;
+
+    enum class fault
+    {
+        none,
+        cut,           ///< nothing arrives and nothing is answered
+        answer_lost,   ///< records are appended, without an answer
+        late,          ///< records wait until `deliver_late`, without an answer
+    };
+
+    outcome append(std::int64_t at, std::vector<record> const& records, fault how)
+    {
+        if (how == fault::cut)
+            return outcome::unknown;
+        if (how == fault::late)
+        {
+            late_.emplace_back(at, records);
+            return outcome::unknown;
+        }
+        if (at != end())
+            return outcome::conflict;
+        records_.insert(records_.end(), records.begin(), records.end());
+        return how == fault::answer_lost ? outcome::unknown : outcome::appended;
+    }
+
+    /// Appends what was held back, where the log still ends at the expected offset.
+    void deliver_late()
+    {
+        for (auto const& [at, records] : std::exchange(late_, {}))
+            append(at, records, fault::none);
+    }
+
+    std::int64_t end() const { return static_cast<std::int64_t>(records_.size()); }
+    std::vector<record> const& records() const { return records_; }
+
+private:
+    std::vector<record> records_;
+    std::deque<std::pair<std::int64_t, std::vector<record>>> late_;
+};
+
+/// Routers that draw from one account over a shared log.
+class prepaid_fleet
+{
+public:
+    static constexpr char const* account = "account";
+
+    explicit prepaid_fleet(int routers, std::int64_t total)
+        : total_(total)
+    {
+        for (int i = 0; i < routers; ++i)
+            start(i);
+    }
+
+    /// Starts router `i`, with nothing but what the log holds.
+    void start(int i)
+    {
+        auto& it = routers_[i];
+        it = {};
+        forwarding::prepaid_holder_settings settings;
+        settings.vm = "vm-" + std::to_string(i);
+        settings.writer = settings.vm + "@" + std::to_string(++starts_);
+        it.holder = std::make_unique<forwarding::prepaid_holder>(
+            clock_.function(),
+            settings,
+            [this, i](
+                std::int64_t at,
+                std::vector<forwarding::draw_record> const& records,
+                std::function<void(forwarding::append_outcome)> done)
+            { done(log_.append(at, records, routers_[i].fault)); },
+            [this](std::string const&) { return total_; });
+        read(i);
+    }
+
+    void set_fault(int i, fake_draw_log::fault how) { routers_[i].fault = how; }
+    void set_total(std::int64_t total) { total_ = total; }
+
+    /// One request; the result is nothing while it waits.
+    void request(int i, std::int64_t tokens)
+    {
+        routers_[i].holder->reserve(
+            account,
+            tokens,
+            duration(300),
+            [this, i, tokens](forwarding::reservation result)
+            {
+                ++results_[result];
+                if (result != forwarding::reservation::granted)
+                    return;
+                spent_ += tokens;
+                routers_[i].holder->settle(account, tokens, tokens);
+            });
+    }
+
+    void advance(duration step)
+    {
+        clock_.advance(step);
+        for (auto& [i, router] : routers_)
+        {
+            if (router.fault == fake_draw_log::fault::none)
+                read(i);
+            router.holder->tick();
+        }
+    }
+
+    /// Lets all routers run for `time` with `tokens_per_s` each, in requests of `tokens`.
+    void run(duration time, std::int64_t tokens_per_s, std::int64_t tokens)
+    {
+        constexpr duration step{10};
+        for (duration now{0}; now < time; now += step)
+        {
+            for (auto& [i, router] : routers_)
+            {
+                router.owed += static_cast<double>(tokens_per_s) * 0.01;
+                for (; router.owed >= static_cast<double>(tokens);
+                     router.owed -= static_cast<double>(tokens))
+                    request(i, tokens);
+            }
+            advance(step);
+        }
+    }
+
+    int count(forwarding::reservation result) { return results_[result]; }
+    std::int64_t spent() const { return spent_; }
+    std::int64_t total() const { return total_; }
+    fake_draw_log& log() { return log_; }
+    forwarding::prepaid_holder& holder(int i) { return *routers_[i].holder; }
+    manual_clock& clock() { return clock_; }
+
+private:
+    struct router
+    {
+        std::unique_ptr<forwarding::prepaid_holder> holder;
+        fake_draw_log::fault fault = fake_draw_log::fault::none;
+        std::int64_t next = 0;
+        double owed = 0;
+    };
+
+    void read(int i)
+    {
+        auto& it = routers_[i];
+        for (; it.next < log_.end(); ++it.next)
+            it.holder->apply(it.next, log_.records()[static_cast<std::size_t>(it.next)]);
+        it.holder->advance(it.next);
+    }
+
+    manual_clock clock_;
+    std::int64_t total_;
+    std::int64_t spent_ = 0;
+    int starts_ = 0;
+    fake_draw_log log_;
+    std::map<int, router> routers_;
+    std::map<forwarding::reservation, int> results_;
+};
+
+} // namespace almondcart::testing
