Prepaid: Take over what a predecessor on the VM cannot have spent

Cause: tokens held by a process that died stayed drawn.

Ruled out: smaller holdings, which only move the refusals into outages of the log. Witnesses beside the upstreams: they die in the same faults, and the log suffices.

Change: a draw record states what is spent, and a limit that grows with time which its writer keeps to until its next report is on the log. The next process on the VM charges that limit up to its own start, by the boot clock, or by the wall clock plus its error where the VM started anew, and spends the rest after its first append.

--- a/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
@@ -33,20 +33,22 @@
 
 struct prepaid_holder_settings
 {
-    std::string vm;
+    std::string vm;               ///< at most one live process draws under this name
     std::string writer;           ///< names this start of the process
     duration horizon{15'000};     ///< demand that is drawn ahead, to outlast an outage of the log
     duration demand_window{2000}; ///< time constant of the demand estimate
-    duration draw_interval{500};  ///< between two draws that no request waits for
-    duration silence_limit{300};  ///< after which a log that does not answer counts as lost
-    duration retry_interval{50};  ///< after a conflict or a refusal
+    duration report_interval{400}; ///< between two appends that no request waits for
+    duration silence_limit{300};   ///< after which a log that does not answer counts as lost
+    duration retry_interval{50};   ///< after a conflict or a refusal
     duration unknown_interval{400}; ///< before an append without an answer is sent again
     duration return_interval{500};  ///< between two looks for tokens to give back
+    duration clock_error{3000};     ///< by which a wall clock may be set back unnoticed
 };
 
 /// Tokens that this process has drawn from prepaid totals and may spend. Only the process that drew
-/// tokens spends them, so neither clocks nor the state of other processes matter for safety. Tokens
-/// held by a process that dies stay drawn; draws shrink with the rest of a total to keep that small.
+/// tokens spends them. It reports its spending on the log and keeps to the limit that each report
+/// states; the next process on the same VM takes over what its predecessor cannot have spent. What
+/// a VM that never returns held stays drawn.
 class prepaid_holder
 {
 public:
@@ -57,15 +59,27 @@
     using total_function = std::function<std::optional<std::int64_t>(std::string const& account)>;
     using reservation_callback = std::function<void(reservation)>;
 
-    /// `total` returns the prepaid total of an account, nothing if it is not limited.
-    prepaid_holder(
-        clock_function clock,
-        prepaid_holder_settings settings,
-        append_function append,
-        total_function total);
+    struct hooks
+    {
+        clock_function clock;                      ///< boot clock
+        std::function<std::int64_t()> wall_time_ms;
+        append_function append;
+
+        /// Prepaid total of an account, nothing if it is not limited.
+        total_function total;
+
+        /// Tokens of a predecessor that were taken over, and those that it may have spent.
+        std::function<void(
+            std::string const& account,
+            std::int64_t taken_over,
+            std::int64_t written_off)>
+            on_takeover;
+    };
 
-    /// Reserves `tokens` and calls `done`, at once if the process holds enough or the log is lost, or
-    /// after a draw on the log, `patience` from now at the latest.
+    prepaid_holder(prepaid_holder_settings settings, hooks hooks);
+
+    /// Reserves `tokens` and calls `done`, at once if the process holds enough or the log is lost,
+    /// or after an append to the log, `patience` from now at the latest.
     void reserve(
         std::string const& account,
         std::int64_t tokens,
@@ -82,7 +96,7 @@
     /// Tells that all records before `end` have been passed.
     void advance(std::int64_t end);
 
-    /// Draws, gives back and expires waiting requests. To be called often.
+    /// Draws, reports, gives back and expires waiting requests. To be called often.
     void tick();
 
     /// From now on gives back all tokens that are free.
@@ -104,11 +118,24 @@
 
     struct account_state
     {
-        std::int64_t free_tokens = 0;
+        std::int64_t drawn_tokens = 0; ///< by this process and its predecessors
+        std::int64_t spent_tokens = 0; ///< of them, with what running requests may consume
+        std::int64_t returning_tokens = 0; ///< in an append under way
         double demand_per_s = 0;
         double window_tokens = 0; ///< requested since the estimate was last updated
+        std::int64_t largest_request = 0;
         instant updated{};
+        spending_report reported;
+        instant acknowledged{};
+        /// Report in an append under way; it may be on the log already.
+        std::optional<spending_report> reporting;
+        instant reporting_since{};
         std::deque<waiting_request> waiting;
+
+        std::int64_t free_tokens() const
+        {
+            return drawn_tokens - spent_tokens - returning_tokens;
+        }
     };
 
     struct pending_append
@@ -116,16 +143,19 @@
         std::int64_t at = 0;
         std::uint64_t sequence = 0;
         std::vector<draw_record> records;
-        std::map<std::string, std::int64_t> deltas; ///< tokens by account, negative if given back
         instant first_sent{};
         bool is_in_flight = false;
         bool is_unknown = false;
     };
 
     std::int64_t remaining(std::string const& account) const;
+    std::int64_t spendable(account_state const& state) const;
     std::int64_t target_free(std::string const& account, account_state const& state) const;
     std::int64_t wanted_delta(std::string const& account, account_state const& state) const;
+    bool is_report_due(account_state const& state) const;
+    draw_record create_record(std::string const& account, account_state& state, std::int64_t delta);
     bool is_log_silent() const;
+    void take_over();
     void update_demand(account_state& state);
     void serve_waiting();
     void start_append();
@@ -133,20 +163,22 @@
     void finish_append(std::uint64_t sequence, append_outcome outcome);
     void resolve();
     void conclude(bool is_applied);
+    void acknowledge(draw_record const& record);
 
-    clock_function clock_;
     prepaid_holder_settings settings_;
-    append_function append_;
-    total_function total_;
+    hooks hooks_;
     prepaid_ledger ledger_;
     std::map<std::string, account_state> accounts_;
     std::optional<pending_append> pending_;
     std::uint64_t next_sequence_ = 1;
+    instant started_;
+    std::int64_t started_wall_ms_;
     instant next_attempt_{};
     instant next_return_{};
-    instant next_draw_{};
+    instant next_report_{};
+    bool is_synced_ = false;
     bool is_return_due_ = false;
-    bool is_draw_due_ = false;
+    bool is_report_time_ = false;
     bool is_stopping_ = false;
     bool is_serving_ = false;
 };
--- a/libraries/forwarding/include/almondcart/forwarding/prepaid_ledger.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/prepaid_ledger.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <almondcart/forwarding/spending_report.hpp>
+
 #include <absl/status/statusor.h>
 
 #include <cstdint>
@@ -29,6 +31,8 @@
     std::string writer;            ///< start of a process that wrote the record
     std::uint64_t sequence = 0;    ///< number of the append among those of `writer`
     std::int64_t demand_per_s = 0; ///< tokens that the owner's callers ask for
+    spending_report spending;
+    clock_reading written;
 
     /// Key of the record in its topic.
     std::string key() const;
@@ -56,6 +60,9 @@
     std::int64_t drawn(std::string_view account) const;
     std::int64_t drawn_by(draw_owner const& owner) const;
 
+    /// Newest records of all owners.
+    std::map<draw_owner, draw_record> const& records() const { return by_owner_; }
+
     /// Demand of all owners of an account, in tokens per second, as they last stated it.
     std::int64_t demand(std::string_view account) const;
     std::int64_t demand_of(draw_owner const& owner) const;
@@ -74,7 +81,7 @@
     };
 
     std::int64_t end_ = 0;
-    std::map<draw_owner, totals> by_owner_;
+    std::map<draw_owner, draw_record> by_owner_;
     std::map<std::string, totals, std::less<>> by_account_;
     std::map<std::string, std::uint64_t, std::less<>> sequences_;
 };
--- a/libraries/forwarding/src/prepaid_ledger.cpp
+++ b/libraries/forwarding/src/prepaid_ledger.cpp
@@ -26,6 +26,11 @@
     value["writer"] = writer;
     value["sequence"] = Json::UInt64(sequence);
     value["demand_per_s"] = Json::Int64(demand_per_s);
+    value["spent_tokens"] = Json::Int64(spending.spent_tokens);
+    value["slack_tokens"] = Json::Int64(spending.slack_tokens);
+    value["rate_per_s"] = Json::Int64(spending.rate_per_s);
+    value["boot_ms"] = Json::Int64(written.boot_ms);
+    value["wall_ms"] = Json::Int64(written.wall_ms);
     return to_compact_json(value);
 }
 
@@ -46,6 +51,11 @@
     record.writer = reader.string("writer");
     record.sequence = static_cast<std::uint64_t>(reader.integer("sequence", 0, maximum));
     record.demand_per_s = reader.integer("demand_per_s", 0, maximum);
+    record.spending.spent_tokens = reader.integer("spent_tokens", 0, maximum);
+    record.spending.slack_tokens = reader.integer("slack_tokens", 0, maximum);
+    record.spending.rate_per_s = reader.integer("rate_per_s", 0, maximum);
+    record.written.boot_ms = reader.integer("boot_ms", 0, maximum);
+    record.written.wall_ms = reader.integer("wall_ms", 0, maximum);
     if (auto status = reader.finish(); !status.ok())
         return status;
     return record;
@@ -60,7 +70,7 @@
     auto& account = by_account_[record.owner.account];
     account.drawn_tokens += record.drawn_tokens - owner.drawn_tokens;
     account.demand_per_s += record.demand_per_s - owner.demand_per_s;
-    owner = {record.drawn_tokens, record.demand_per_s};
+    owner = record;
     auto& sequence = sequences_[record.writer];
     sequence = std::max(sequence, record.sequence);
 }
--- /dev/null
+++ b/libraries/forwarding/src/spending_report.cpp
@@ -0,0 +1,32 @@
+#include <almondcart/forwarding/spending_report.hpp>
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace almondcart::forwarding {
+
+namespace {
+
+/// Difference by which the two clocks may drift apart without the wall clock having been set.
+constexpr std::int64_t same_boot_tolerance_ms = 100;
+
+} // namespace
+
+duration longest_elapsed(clock_reading then, clock_reading now, duration clock_error)
+{
+    auto const boot = now.boot_ms - then.boot_ms;
+    auto const wall = now.wall_ms - then.wall_ms;
+    if (boot >= 0 && std::abs(boot - wall) <= same_boot_tolerance_ms)
+        return duration(boot);
+    return std::max(duration(0), duration(wall)) + clock_error;
+}
+
+std::int64_t spending_report::limit_after(duration elapsed) const
+{
+    constexpr double milliseconds_per_second = 1000;
+    double const seconds = static_cast<double>(elapsed.count()) / milliseconds_per_second;
+    return spent_tokens + slack_tokens
+           + static_cast<std::int64_t>(static_cast<double>(rate_per_s) * seconds);
+}
+
+} // namespace almondcart::forwarding
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -163,10 +163,11 @@
 void gateway::start()
 {
     spdlog::info(
-        "[gateway] started vm={} availability_zone={} listen={}",
+        "[gateway] started vm={} availability_zone={} listen={} up_ms={}",
         settings_.name,
         settings_.availability_zone,
-        settings_.listen);
+        settings_.listen,
+        loop_.now().since_epoch.count());
     loop_.on_stop_signal([this] { begin_stop(); });
     follow_configuration();
     follow_upstreams();
--- a/services/gateway/prepaid_log.cpp
+++ b/services/gateway/prepaid_log.cpp
@@ -41,13 +41,25 @@
     forwarding::prepaid_holder::total_function total)
     : store_(store)
     , holder_(
-          [&loop] { return loop.now(); },
           std::move(settings),
-          [this](
-              std::int64_t at,
-              std::vector<draw_record> const& records,
-              std::function<void(append_outcome)> done) { append(at, records, std::move(done)); },
-          std::move(total))
+          {.clock = [&loop] { return loop.now(); },
+           .wall_time_ms = system_clock_source::wall_time_ms,
+           .append =
+               [this](
+                   std::int64_t at,
+                   std::vector<draw_record> const& records,
+                   std::function<void(append_outcome)> done)
+           { append(at, records, std::move(done)); },
+           .total = std::move(total),
+           .on_takeover =
+               [](std::string const& account, std::int64_t taken, std::int64_t written_off)
+           {
+               spdlog::info(
+                   "[prepaid] account={} takes over tokens={} written_off={}",
+                   account,
+                   taken,
+                   written_off);
+           }})
     , follower_(loop, store, {.topic = topic, .pause = read_pause}, create_hooks())
 {}
 
--- a/services/gateway/prepaid_log.hpp
+++ b/services/gateway/prepaid_log.hpp
@@ -3,6 +3,7 @@
 #include <almondcart/forwarding/prepaid_holder.hpp>
 #include <almondcart/platform/keyed_topic.hpp>
 
+#include <functional>
 #include <vector>
 
 namespace almondcart {
--- a/tests/prepaid.cpp
+++ b/tests/prepaid.cpp
@@ -4,6 +4,7 @@
 #include "prepaid_fleet.hpp"
 
 using namespace almondcart;
+using almondcart::forwarding::longest_elapsed;
 using almondcart::forwarding::reservation;
 using almondcart::testing::fake_draw_log;
 using almondcart::testing::prepaid_fleet;
@@ -81,6 +82,50 @@
     cr_assert_leq(fleet.spent(), fleet.total());
 }
 
+// Guards against tokens that are lost with each process that held them.
+Test(prepaid, a_restarted_router_takes_over_what_its_predecessor_cannot_have_spent)
+{
+    prepaid_fleet fleet(4, 4'000'000);
+    fleet.run(duration(10'000), 20'000, 2'000);
+    auto const held = fleet.holder(0).free_tokens(prepaid_fleet::account);
+    for (int i = 0; i < 4; ++i)
+        fleet.start(i);
+    auto const taken_over = fleet.holder(0).free_tokens(prepaid_fleet::account);
+    cr_assert_gt(held, 200'000);
+    cr_assert_geq(taken_over, held * 8 / 10);
+    cr_assert_leq(taken_over, held);
+    fleet.run(duration(60'000), 20'000, 2'000);
+    cr_assert_leq(fleet.spent(), fleet.total());
+    cr_assert_geq(fleet.spent(), fleet.total() * 95 / 100);
+}
+
+// Guards against a predecessor whose spending during an outage is given out again.
+Test(prepaid, what_was_spent_while_the_log_was_lost_is_not_taken_over)
+{
+    prepaid_fleet fleet(1, 500'000);
+    fleet.run(duration(5'000), 20'000, 2'000);
+    fleet.set_fault(0, fault::cut);
+    fleet.run(duration(8'000), 20'000, 2'000);
+    fleet.set_fault(0, fault::none);
+    fleet.start(0);
+    fleet.run(duration(60'000), 20'000, 2'000);
+    cr_assert_leq(fleet.spent(), fleet.total());
+}
+
+// Guards against a wall clock that was set back while the VM was down.
+Test(spending_report, elapsed_time_is_never_underestimated)
+{
+    duration const error(3'000);
+    cr_assert_eq(
+        longest_elapsed({5'000, 100'000}, {6'500, 101'500}, error).count(), 1'500, "same start");
+    cr_assert_eq(
+        longest_elapsed({500'000, 100'000}, {20'000, 101'500}, error).count(),
+        4'500,
+        "the VM started anew");
+    cr_assert_eq(
+        longest_elapsed({5'000, 100'000}, {6'500, 99'000}, error).count(), 3'000, "clock set back");
+}
+
 // Guards against overspending under any sequence of cuts, lost and late appends, restarts and
 // top-ups.
 Test(prepaid, no_sequence_of_faults_overspends)
@@ -128,12 +173,15 @@
 // Guards against records that another process cannot read.
 Test(prepaid, a_record_survives_its_text_form)
 {
-    forwarding::draw_record const record{{"club", "vm-1"}, 12'345, "vm-1@7", 9, 250};
+    forwarding::draw_record const record{
+        {"club", "vm-1"}, 12'345, "vm-1@7", 9, 250, {300, 40, 5}, {1'000, 2'000}};
     auto const parsed = forwarding::draw_record::parse(record.key(), record.value());
     cr_assert(parsed.ok());
     cr_assert_eq(parsed->owner, record.owner);
     cr_assert_eq(parsed->drawn_tokens, record.drawn_tokens);
     cr_assert_eq(parsed->demand_per_s, record.demand_per_s);
+    cr_assert_eq(parsed->spending.limit_after(duration(2'000)), 350);
+    cr_assert_eq(parsed->written.wall_ms, 2'000);
     cr_assert_not(forwarding::draw_record::parse("club/vm-1", "{\"drawn_tokens\":-1}").ok());
     cr_assert_not(forwarding::draw_record::parse("club", record.value()).ok());
 }
--- a/tests/prepaid_fleet.hpp
+++ b/tests/prepaid_fleet.hpp
@@ -82,15 +82,16 @@
         forwarding::prepaid_holder_settings settings;
         settings.vm = "vm-" + std::to_string(i);
         settings.writer = settings.vm + "@" + std::to_string(++starts_);
-        it.holder = std::make_unique<forwarding::prepaid_holder>(
-            clock_.function(),
-            settings,
-            [this, i](
-                std::int64_t at,
-                std::vector<forwarding::draw_record> const& records,
-                std::function<void(forwarding::append_outcome)> done)
-            { done(log_.append(at, records, routers_[i].fault)); },
-            [this](std::string const&) { return total_; });
+        forwarding::prepaid_holder::hooks hooks;
+        hooks.clock = clock_.function();
+        hooks.wall_time_ms = [this] { return clock_.now().since_epoch.count(); };
+        hooks.append = [this, i](
+                           std::int64_t at,
+                           std::vector<forwarding::draw_record> const& records,
+                           std::function<void(forwarding::append_outcome)> done)
+        { done(log_.append(at, records, routers_[i].fault)); };
+        hooks.total = [this](std::string const&) { return total_; };
+        it.holder = std::make_unique<forwarding::prepaid_holder>(settings, hooks);
         read(i);
     }
 
