Gateway: Use the whole grace of a stop, refuse what would not end in it

Cause: a stopping router left after 6 s, while the platform grants 8 s, and cut streams that still ran; requests that arrived late in the stop were started and cut.

Ruled out: leaving at once with 503 to all, because the load balancer sends connections for two seconds more and short requests still end in time.

Change: the grace is a setting, rendered from the platform's bound; the process exits 0.4 s before it; once the balancer has turned away, requests that could outlast the process are refused as not run. json_reader reads fractions.

--- a/libraries/core/include/almondcart/core/json_reader.hpp
+++ b/libraries/core/include/almondcart/core/json_reader.hpp
@@ -39,6 +39,7 @@
         std::int64_t minimum,
         std::int64_t maximum,
         std::int64_t fallback);
+    double number_or(std::string_view name, double minimum, double maximum, double fallback);
     duration milliseconds_or(std::string_view name, duration fallback);
     std::vector<std::string> strings(std::string_view name);
     std::vector<std::string> strings_or(std::string_view name, std::vector<std::string> fallback);
--- a/libraries/core/src/json_reader.cpp
+++ b/libraries/core/src/json_reader.cpp
@@ -79,6 +79,22 @@
     return has(name) ? integer(name, minimum, maximum) : fallback;
 }
 
+double json_reader::number_or(
+    std::string_view name,
+    double minimum,
+    double maximum,
+    double fallback)
+{
+    constexpr std::string_view expected = "a number in the allowed range";
+    auto const* it = find(name, false, expected);
+    if (it == nullptr)
+        return fallback;
+    if (it->isNumeric() && it->asDouble() >= minimum && it->asDouble() <= maximum)
+        return it->asDouble();
+    fail(name, expected);
+    return fallback;
+}
+
 duration json_reader::milliseconds_or(std::string_view name, duration fallback)
 {
     constexpr std::int64_t day_ms = 86'400'000;
--- a/services/gateway/forward_session.cpp
+++ b/services/gateway/forward_session.cpp
@@ -101,6 +101,11 @@
     if (request_.time_limit && (limit <= duration(0) || *request_.time_limit < limit))
         limit = *request_.time_limit;
     deadline_ = arrived_ + limit;
+    if (context_.is_too_late_for(limit))
+    {
+        refuse(result_code::shutting_down, "the router is stopping", retry_soon);
+        return false;
+    }
     if (!find_account())
         return false;
     choose_service();
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -29,10 +29,6 @@
 constexpr duration housekeeping_interval{50};
 constexpr duration settings_check_interval{1000};
 
-/// After a stop signal the load balancer still sends connections until it has missed two answers
-/// of the readiness check, which it asks for once a second.
-constexpr duration drain_time{2500};
-
 constexpr int http_ok = 200;
 constexpr int http_unavailable = 503;
 
@@ -113,6 +109,7 @@
           {},
           false,
           false,
+          {},
           hash64(settings_.name, static_cast<std::uint64_t>(system_clock_source::wall_time_ms()))
               | 1U}
 {}
@@ -332,7 +329,7 @@
         spdlog::error("[gateway] settings not reloaded: {}", message_of(settings.status()));
         return;
     }
-    settings_.shutdown_timeout = settings->shutdown_timeout;
+    settings_.shutdown_grace = settings->shutdown_grace;
     settings_.retry_share = settings->retry_share;
     context_.retries.clear();
     spdlog::info("[gateway] settings reloaded");
@@ -343,22 +340,24 @@
     if (std::exchange(context_.is_stopping, true))
         return;
     spdlog::info("[gateway] stopping requests={}", server_->exchange_count());
-    stop_began_ = loop_.now();
+    context_.stop_began = loop_.now();
     server_->begin_drain();
 }
 
 void gateway::try_stop()
 {
-    auto const elapsed = loop_.now() - stop_began_;
-    if (elapsed < drain_time)
+    auto const now = loop_.now();
+    if (now - context_.stop_began < drain_time)
         return;
     server_->close_idle();
     bool const is_idle = server_->exchange_count() == 0;
     if (is_idle)
         prepaid_.holder().begin_shutdown();
     bool const is_settled = is_idle && !prepaid_.holder().is_busy();
-    if (is_settled || elapsed >= settings_.shutdown_timeout)
-        loop_.stop();
+    if (!is_settled && now < context_.stop_deadline())
+        return;
+    spdlog::info("[gateway] stops with requests={}", server_->exchange_count());
+    loop_.stop();
 }
 
 } // namespace almondcart
--- a/services/gateway/gateway.hpp
+++ b/services/gateway/gateway.hpp
@@ -64,7 +64,6 @@
     std::unique_ptr<http_server> readiness_server_;
     std::unique_ptr<http_server> status_server_;
     std::unique_ptr<http1::inbound_server> server_;
-    instant stop_began_{};
 };
 
 } // namespace almondcart
--- a/services/gateway/gateway_context.cpp
+++ b/services/gateway/gateway_context.cpp
@@ -9,6 +9,9 @@
 constexpr double retry_floor_per_s = 0.3;
 constexpr double retry_burst = 4;
 
+/// Kept back from the time until the platform kills a process that is to stop.
+constexpr duration exit_margin{400};
+
 } // namespace
 
 retry_budget& gateway_context::retries_of(std::string const& service)
@@ -21,6 +24,17 @@
         .first->second;
 }
 
+instant gateway_context::stop_deadline() const
+{
+    return stop_began + settings.shutdown_grace - exit_margin;
+}
+
+bool gateway_context::is_too_late_for(duration limit) const
+{
+    auto const now = loop.now();
+    return is_stopping && now - stop_began >= drain_time && now + limit > stop_deadline();
+}
+
 std::uint64_t gateway_context::next_random()
 {
     // xorshift64
--- a/services/gateway/gateway_context.hpp
+++ b/services/gateway/gateway_context.hpp
@@ -19,6 +19,10 @@
 
 namespace almondcart {
 
+/// After a stop signal the load balancer still sends connections until it has missed two answers
+/// of the readiness check, which it asks for once a second.
+inline constexpr duration drain_time{2500};
+
 /// What the sessions of a gateway share. All members outlive the sessions.
 struct gateway_context
 {
@@ -34,10 +38,18 @@
     std::map<std::string, retry_budget> retries; ///< by service
     bool is_ready = false;
     bool is_stopping = false;
+    instant stop_began{};
     std::uint64_t random = 1;
 
     retry_budget& retries_of(std::string const& service);
 
+    /// When a stopping process exits at the latest, with time to spare before it is killed.
+    instant stop_deadline() const;
+
+    /// Whether a request that may last for `limit` is to be sent to another router, because this
+    /// one may have exited by then.
+    bool is_too_late_for(duration limit) const;
+
     /// Next pseudo-random number.
     std::uint64_t next_random();
 
--- a/services/gateway/gateway_settings.cpp
+++ b/services/gateway/gateway_settings.cpp
@@ -5,6 +5,13 @@
 
 namespace almondcart {
 
+namespace {
+
+constexpr double shortest_grace_s = 1;
+constexpr double longest_grace_s = 3600;
+
+} // namespace
+
 absl::StatusOr<gateway_settings> gateway_settings::load(std::string const& file)
 {
     auto const value = read_settings_file(file);
@@ -19,8 +26,12 @@
     settings.status_listen = read_address(reader, "status_listen");
     settings.store_address = read_address(reader, "store_address");
     settings.log_level = read_log_level_or(reader, "log_level", settings.log_level);
-    settings.shutdown_timeout =
-        reader.milliseconds_or("shutdown_timeout_ms", settings.shutdown_timeout);
+    settings.shutdown_grace =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>(reader.number_or(
+            "shutdown_grace_s",
+            shortest_grace_s,
+            longest_grace_s,
+            std::chrono::duration<double>(settings.shutdown_grace).count())));
     constexpr double percent = 100;
     constexpr std::int64_t percent_limit = 100;
     settings.retry_share = static_cast<double>(reader.integer_or(
--- a/services/gateway/gateway_settings.hpp
+++ b/services/gateway/gateway_settings.hpp
@@ -18,7 +18,7 @@
     std::string status_listen;    ///< "ip:port" for metrics
     std::string store_address;    ///< "ip:port" of the platform's store
     std::string log_level = "info";
-    duration shutdown_timeout{6000}; ///< longest graceful stop
+    duration shutdown_grace{8000}; ///< after which the platform kills a process that was to stop
     double retry_share = 0.1;        ///< repeated attempts per first attempt
 
     /// Errors carry `invalid_settings` and name file, member and what was expected.
