--- a/libraries/forwarding/src/prepaid_holder.cpp
+++ b/libraries/forwarding/src/prepaid_holder.cpp
@@ -12,8 +12,10 @@
 constexpr double milliseconds_per_second = 1000;
 
 /// Part of what is left of a total that routers may draw ahead. Each counts what it holds itself as
-/// left, so routers together hold about half of the rest.
+/// left, so routers together hold about half of the rest. Where the rest covers less than the
+/// horizon, the part shrinks with it, because more of it would be missed if its holders died.
 constexpr double ahead_share = 0.8;
+constexpr double smallest_ahead_share = 0.2;
 
 /// Part of its target below which a router draws without a waiting request.
 constexpr double low_mark = 0.85;
@@ -166,9 +168,11 @@
     auto const others = ledger_.demand(account) - ledger_.demand_of(self);
     // Counts what this process holds as left, so that the target does not depend on its own draws.
     double const left = static_cast<double>(remaining(account) + state.free_tokens());
-    double const share =
-        ahead_share * left * demand / (demand + static_cast<double>(std::max<std::int64_t>(0, others)));
-    return static_cast<std::int64_t>(std::min(demand * horizon_s, share));
+    double const all_demand = demand + static_cast<double>(std::max<std::int64_t>(0, others));
+    double const covered_s = left / all_demand;
+    double const part =
+        std::clamp(ahead_share * covered_s / horizon_s, smallest_ahead_share, ahead_share);
+    return static_cast<std::int64_t>(std::min(demand * horizon_s, part * covered_s * demand));
 }
 
 std::int64_t
