--- a/libraries/forwarding/include/almondcart/forwarding/event_splitter.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/event_splitter.hpp
@@ -21,7 +21,11 @@
     std::size_t pending_bytes() const { return pending_.size(); }
 
     /// Forgets an unfinished event, whose stream was cut.
-    void discard_pending() { pending_.clear(); }
+    void discard_pending()
+    {
+        pending_.clear();
+        searched_ = 0;
+    }
 
     /// Id of the last whole event, if it had one.
     std::optional<std::int64_t> last_id() const { return last_id_; }
--- /dev/null
+++ b/tests/forwarding.cpp
@@ -0,0 +1,205 @@
+#include <almondcart/forwarding/configuration.hpp>
+#include <almondcart/forwarding/event_splitter.hpp>
+#include <almondcart/forwarding/upstream_directory.hpp>
+#include <almondcart/forwarding/upstream_health.hpp>
+#include <almondcart/forwarding/upstream_picker.hpp>
+
+#include <criterion/criterion.h>
+
+#include <map>
+#include <set>
+
+using namespace almondcart;
+using namespace almondcart::forwarding;
+
+namespace {
+
+upstream_entry engine(std::string const& id, std::string const& zone, int slots = 8)
+{
+    return {id, "models", "10.0.0.1:80", zone, slots, false, 1};
+}
+
+prompt long_prompt(std::uint64_t subject, std::uint64_t own)
+{
+    return {9'000, 100, {{1, 3'000}, {subject, 3'000}, {own, 3'000}}};
+}
+
+struct picker_fixture
+{
+    explicit picker_fixture(std::uint64_t seed = 1, std::string const& zone = "a")
+        : picker(clock.function(), {.availability_zone = zone, .seed = seed}, directory)
+    {}
+
+    std::string pick(prompt const* size)
+    {
+        auto const it = picker.pick({"models", size, nullptr});
+        return it == nullptr ? "" : it->entry.id;
+    }
+
+    manual_clock clock;
+    upstream_directory directory;
+    upstream_picker picker;
+};
+
+} // namespace
+
+Test(configuration, the_longest_prefix_of_the_host_wins)
+{
+    configuration content;
+    for (std::string const prefix : {"/a/", "/a/b/", "/"})
+    {
+        route it;
+        it.name = prefix;
+        it.host = "Club.example";
+        it.path_prefix = prefix;
+        content.routes.push_back(it);
+    }
+    content.accounts.push_back({"club", {"k1", "k2"}, std::nullopt, 10});
+    configuration_view const view(content);
+    cr_assert_eq(view.find_route("club.example:80", "/a/b/c")->name, "/a/b/");
+    cr_assert_eq(view.find_route("CLUB.example", "/a/x")->name, "/a/");
+    cr_assert_eq(view.find_route("club.example", "/x")->name, "/");
+    cr_assert_null(view.find_route("other.example", "/a/b/c"));
+    cr_assert_eq(view.find_account("k2")->name, "club");
+    cr_assert_null(view.find_account("k3"));
+}
+
+// Guards against half events, which a caller cannot tell from whole ones.
+Test(event_splitter, passes_only_whole_events_however_they_are_cut)
+{
+    std::string const stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\nid: 4\nda";
+    for (std::size_t cut = 0; cut <= stream.size(); ++cut)
+    {
+        event_splitter splitter;
+        auto text = splitter.feed(std::string_view(stream).substr(0, cut));
+        text += splitter.feed(std::string_view(stream).substr(cut));
+        cr_assert_eq(text, stream.substr(0, stream.size() - 8));
+        cr_assert_eq(*splitter.last_id(), 3);
+        cr_assert_eq(splitter.event_count(), 3);
+        cr_assert_eq(splitter.pending_bytes(), 8);
+    }
+}
+
+// Guards against events that come twice when a stream goes on at another upstream.
+Test(event_splitter, leaves_out_events_that_were_passed)
+{
+    event_splitter splitter;
+    splitter.feed("id: 1\n\nid: 2\n\nid: 3\nda");
+    splitter.discard_pending();
+    cr_assert_eq(splitter.feed("id: 2\n\nid: 3\n\n"), "id: 3\n\n");
+}
+
+// Guards against requests that go to the previous user of an address.
+Test(upstream_directory, a_new_start_under_an_old_id_is_another_upstream)
+{
+    upstream_directory directory;
+    directory.apply("i-1", engine("i-1", "a"));
+    auto const first = directory.of_service("models").at(0);
+    auto next = engine("i-1", "a");
+    next.born_ms = 2;
+    directory.apply("i-1", next);
+    cr_assert(first->is_gone);
+    cr_assert_neq(directory.of_service("models").at(0), first);
+    directory.apply("i-1", std::nullopt);
+    cr_assert(directory.of_service("models").empty());
+}
+
+Test(upstream_directory, a_snapshot_removes_what_it_lacks)
+{
+    std::vector<std::string> changes;
+    upstream_directory directory([&](upstream const& it) { changes.push_back(it.entry.id); });
+    directory.apply("i-1", engine("i-1", "a"));
+    directory.apply("i-2", engine("i-2", "a"));
+    directory.replace_all({{"i-2", engine("i-2", "a")}});
+    cr_assert_eq(directory.size(), 1);
+    cr_assert_eq(changes.back(), "i-1");
+}
+
+// Guards against judging an upstream by one lost answer, and against hammering a dead one.
+Test(upstream_health, blocks_an_upstream_after_losses_in_a_row)
+{
+    upstream_health health;
+    instant now;
+    health.record(attempt_result::lost, now);
+    cr_assert(health.is_available(now));
+    health.record(attempt_result::lost, now);
+    cr_assert_not(health.is_available(now));
+    now = health.blocked_until();
+    cr_assert(health.is_available(now));
+    health.record(attempt_result::lost, now);
+    cr_assert_geq((health.blocked_until() - now).count(), 1'000);
+    health.record(attempt_result::success, health.blocked_until());
+    health.record(attempt_result::lost, health.blocked_until());
+    cr_assert(health.is_available(health.blocked_until()));
+}
+
+// Pattern: hot prefix. Guards against a prompt prefix that is read on every upstream.
+Test(upstream_picker, requests_with_one_prefix_meet_across_routers)
+{
+    std::map<std::string, int> homes;
+    for (std::uint64_t subject = 100; subject < 140; ++subject)
+    {
+        std::set<std::string> chosen;
+        for (std::uint64_t router = 1; router <= 4; ++router)
+        {
+            picker_fixture it(router);
+            for (std::string const id : {"i-1", "i-2", "i-3", "i-4"})
+                it.directory.apply(id, engine(id, "a"));
+            auto const size = long_prompt(subject, router);
+            chosen.insert(it.pick(&size));
+        }
+        cr_assert_eq(chosen.size(), 1);
+        ++homes[*chosen.begin()];
+    }
+    cr_assert_eq(homes.size(), 4, "prefixes are spread over the upstreams");
+}
+
+// Pattern: hot prefix with overload. Guards against one upstream that takes all of a hot prefix.
+Test(upstream_picker, a_busy_home_passes_work_on)
+{
+    picker_fixture it;
+    for (std::string const id : {"i-1", "i-2", "i-3"})
+        it.directory.apply(id, engine(id, "a"));
+    std::vector<std::unique_ptr<work_ticket>> tickets;
+    std::set<std::string> used;
+    for (std::uint64_t own = 0; own < 6; ++own)
+    {
+        auto const size = long_prompt(7, 1'000 + own);
+        auto const target = it.picker.pick({"models", &size, nullptr});
+        used.insert(target->entry.id);
+        tickets.push_back(it.picker.begin(target, &size));
+    }
+    cr_assert_geq(used.size(), 2);
+}
+
+// Pattern: dead and leaving upstreams.
+Test(upstream_picker, leaves_out_upstreams_that_drain_or_fail)
+{
+    picker_fixture it;
+    auto draining = engine("i-1", "a");
+    draining.is_draining = true;
+    it.directory.apply("i-1", draining);
+    it.directory.apply("i-2", engine("i-2", "a"));
+    it.directory.apply("i-3", engine("i-3", "a"));
+    auto const failed = it.directory.all().at("i-2");
+    it.picker.record(*failed, attempt_result::lost);
+    it.picker.record(*failed, attempt_result::lost);
+    for (int n = 0; n < 20; ++n)
+        cr_assert_eq(it.pick(nullptr), "i-3");
+    std::vector<std::string> const tried{"i-3"};
+    cr_assert_eq(
+        it.picker.pick({"models", nullptr, &tried})->entry.id,
+        "i-2",
+        "the only other upstream gets a chance");
+}
+
+// Pattern: plain service over several availability zones.
+Test(upstream_picker, plain_work_stays_in_the_zone_until_it_is_busier)
+{
+    picker_fixture it(1, "b");
+    it.directory.apply("i-1", engine("i-1", "a"));
+    it.directory.apply("i-2", engine("i-2", "b"));
+    cr_assert_eq(it.pick(nullptr), "i-2");
+    auto const first = it.picker.begin(it.directory.all().at("i-2"), nullptr);
+    cr_assert_eq(it.pick(nullptr), "i-1");
+}
--- /dev/null
+++ b/tests/platform.cpp
@@ -0,0 +1,226 @@
+#include <almondcart/core/status.hpp>
+#include <almondcart/http/http_server.hpp>
+#include <almondcart/platform/exchange_headers.hpp>
+#include <almondcart/platform/keyed_topic.hpp>
+#include <almondcart/platform/operator_records.hpp>
+
+#include <platform/store_standin.hpp>
+
+#include <criterion/criterion.h>
+
+#include <optional>
+
+using namespace almondcart;
+using namespace almondcart::platform;
+
+namespace {
+
+constexpr char const* configuration_text = R"({
+  "version":7,
+  "routes":[{"name":"r-1","hostname":"club.example","pathPrefix":"/a/","kind":"streaming",
+    "timeoutMs":5000,"sloMs":400,"priority":1,
+    "trafficSplit":[{"backend":"models","weight":90},{"backend":"other","weight":10}],
+    "attempts":2,"public":false,"streamResume":true,"new":1},
+   {"name":"r-2","hostname":"club.example","pathPrefix":"/b/","kind":"unsafe","timeoutMs":1000,
+    "backend":"entries"}],
+  "backends":[{"name":"models","maxConns":620,"engine":{"slots":128,"kvCapacityTokens":600000,
+    "stride":4}},{"name":"entries","maxConns":100}],
+  "limits":{"maxHeaderBytes":100,"maxBodyBytes":200,"headerTimeoutMs":300,"idleTimeoutMs":400},
+  "tenants":[{"name":"club","apiKeys":["k1","k2"],"priority":0,"prepaid":8772356}]})";
+
+struct topic_fixture
+{
+    topic_fixture()
+    {
+        keyed_topic::hooks hooks;
+        hooks.on_snapshot = [this](auto const& records, std::int64_t)
+        {
+            ++snapshots;
+            values.clear();
+            for (auto const& [key, record] : records)
+                values[key] = record.value.value_or("");
+        };
+        hooks.on_record = [this](keyed_record const& it)
+        {
+            if (it.value)
+                values[it.key] = *it.value;
+            else
+                values.erase(it.key);
+        };
+        hooks.on_position = [](std::int64_t) {};
+        hooks.on_lost = [this](store_error) { ++lost; };
+        hooks.on_regained = [this] { ++regained; };
+        topic = std::make_unique<keyed_topic>(
+            loop, client, keyed_topic_settings{.topic = "keyed.op"}, std::move(hooks));
+        topic->start();
+    }
+
+    event_loop loop;
+    standins::store_standin store{loop};
+    http_client http{loop};
+    store_client client{http, store.address()};
+    std::map<std::string, std::string> values;
+    int snapshots = 0;
+    int lost = 0;
+    int regained = 0;
+    std::unique_ptr<keyed_topic> topic;
+};
+
+} // namespace
+
+Test(operator_records, decodes_a_configuration_into_typed_fields)
+{
+    auto const it = decode_configuration(configuration_text);
+    cr_assert(it.ok());
+    cr_assert_eq(it->version, 7);
+    auto const& first = it->routes.at(0);
+    cr_assert(first.kind == forwarding::request_kind::stream);
+    cr_assert(first.is_repeatable());
+    cr_assert_eq(first.shares.at(1).weight, 10);
+    cr_assert_eq(first.attempt_limit, 2);
+    auto const& second = it->routes.at(1);
+    cr_assert_not(second.is_repeatable());
+    cr_assert_eq(second.shares.at(0).service, "entries");
+    cr_assert_eq(it->services.at(0).engine->tokens_per_event, 4);
+    cr_assert_not(it->services.at(1).engine.has_value());
+    cr_assert_eq(it->limits.body_bytes, 200);
+    cr_assert_eq(*it->accounts.at(0).prepaid_tokens, 8'772'356);
+}
+
+// Guards against a broken configuration that takes the place of a good one.
+Test(operator_records, names_the_member_that_is_wrong)
+{
+    auto const it = decode_configuration(
+        R"({"version":1,"routes":[{"name":"r","hostname":"h","pathPrefix":"/","kind":"odd",
+            "timeoutMs":1,"backend":"b"}]})");
+    cr_assert_not(it.ok());
+    cr_assert_neq(message_of(it.status()).find("routes[0].kind"), std::string::npos);
+    cr_assert_not(decode_configuration("{").ok());
+    cr_assert_not(decode_configuration(R"({"version":"1"})").ok());
+}
+
+// Guards against registry entries of other writers that name no usable upstream.
+Test(operator_records, rejects_entries_with_missing_or_mistyped_fields)
+{
+    auto const good = decode_upstream(
+        "i-1",
+        R"({"backend":"models","address":"10.0.0.9:80","zone":"a","slots":8,"state":"draining",
+            "born":5,"sequence":4})");
+    cr_assert(good.ok());
+    cr_assert(good->is_draining);
+    cr_assert_eq(good->born_ms, 5);
+    for (auto const* text :
+         {R"({"backend":"models","address":"10.0.0.9:80","zone":"a"})",
+          R"({"backend":"models","address":"10.0.0.9:80","zone":"a","state":"odd"})",
+          R"({"backend":7,"address":"10.0.0.9:80","zone":"a","state":"ready"})",
+          R"({"backend":"models","address":"host:80","zone":"a","state":"ready"})",
+          R"([1])",
+          "\xff\xfe"})
+        cr_assert_not(decode_upstream("i-1", text).ok(), "%s", text);
+}
+
+// Guards against headers with which a caller could act as the router, and against keys that reach
+// an upstream.
+Test(exchange_headers, replaces_what_only_the_router_may_set)
+{
+    auto const codec = create_exchange_codec();
+    auto const request = codec.decode_request(
+        "POST",
+        "/a/b?c",
+        {{"Host", "club.example"},
+         {"X-Almondcart-Request-Id", "r1"},
+         {"X-Almondcart-Deadline-Ms", "5000"},
+         {"X-Almondcart-Token-Count", "1460,80"},
+         {"X-Almondcart-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250"},
+         {"X-Almondcart-Model", "m"},
+         {"Authorization", "Bearer k1"},
+         {"X-Almondcart-Tenant", "other"},
+         {"X-Almondcart-Hold", "h"},
+         {"X-Almondcart-Pin-Ms", "1"},
+         {"X-Almondcart-Kv-Backup", "a"},
+         {"Kv-From", "b"},
+         {"Connection", "x-hop, X-Almondcart-Model"},
+         {"X-Hop", "1"},
+         {"X-Other", "2"}});
+    cr_assert(request.ok());
+    cr_assert_eq(request->key, "k1");
+    cr_assert_eq(request->path(), "/a/b");
+    cr_assert_eq(request->size->worst_case_tokens(), 1'540);
+    cr_assert_eq(request->size->parts.at(1).id, 0x91bd3f06);
+    auto const headers = codec.encode_attempt(
+        *request, {"i-1", "club", duration(900), 1, "4"});
+    auto const value = [&](std::string_view name)
+    { return std::string(find_header(headers, name).value_or("none")); };
+    cr_assert_eq(value("X-Almondcart-Tenant"), "club");
+    cr_assert_eq(value("X-Almondcart-Deadline-Ms"), "900");
+    cr_assert_eq(value("X-Almondcart-Expect-Instance"), "i-1");
+    cr_assert_eq(value("X-Almondcart-Model"), "m");
+    cr_assert_eq(value("X-Almondcart-Request-Urgency"), "1");
+    cr_assert_eq(value("Last-Event-Id"), "4");
+    cr_assert_eq(value("X-Other"), "2");
+    for (auto const* name :
+         {"Authorization", "X-Almondcart-Hold", "X-Almondcart-Pin-Ms", "X-Almondcart-Kv-Backup",
+          "Kv-From", "X-Hop", "Connection"})
+        cr_assert_eq(value(name), "none", "%s", name);
+    cr_assert_not(codec.decode_request("GET", "/", {}).ok());
+}
+
+Test(exchange_headers, tells_whether_an_upstream_ran_a_request)
+{
+    auto const codec = create_exchange_codec();
+    cr_assert(codec.decode_answer(503, {{"X-Almondcart-Not-Executed", "1"}}).is_not_executed);
+    cr_assert(codec.decode_answer(421, {}).is_other_upstream);
+    cr_assert_not(codec.decode_answer(503, {}).is_not_executed);
+    auto const answer = codec.decode_answer(
+        200, {{"X-Almondcart-Response-Seal", "s"}, {"Keep-Alive", "timeout=1"}});
+    cr_assert(answer.has_seal);
+    cr_assert_eq(answer.forwarded.size(), 1);
+}
+
+// Guards against two writers that both believe that their append took effect.
+Test(store_client, an_append_at_another_end_changes_nothing)
+{
+    event_loop loop;
+    standins::store_standin store(loop);
+    http_client http(loop);
+    store_client client(http, store.address());
+    std::vector<store_result<std::int64_t>> results;
+    auto const append = [&](std::int64_t at)
+    {
+        client.append(
+            "keyed.x",
+            at,
+            {{0, "k", "v"}},
+            [&](store_result<std::int64_t> it) { results.push_back(it); });
+        auto const n = results.size() + 1;
+        loop.run_until([&, n] { return results.size() == n; });
+    };
+    append(0);
+    append(0);
+    store.set_down(true);
+    append(1);
+    cr_assert_eq(*results[0].value, 0);
+    cr_assert(results[1].error == store_error::position);
+    cr_assert(results[2].error == store_error::rejected);
+}
+
+// Guards against missed changes: while the store is down, and after it has dropped its history.
+Test(keyed_topic, follows_a_topic_over_outages_and_dropped_history)
+{
+    topic_fixture it;
+    it.store.put("keyed.op", "a", "1");
+    it.loop.run_until([&] { return it.values["a"] == "1"; });
+    it.store.set_down(true);
+    it.store.drop_waiting_reads();
+    it.loop.run_until([&] { return it.lost == 1; });
+    it.store.put("keyed.op", "a", "2");
+    it.store.put("keyed.op", "b", "3");
+    it.store.drop_history("keyed.op");
+    it.store.set_down(false);
+    it.loop.run_until([&] { return it.values["b"] == "3"; });
+    cr_assert_eq(it.values["a"], "2");
+    cr_assert_eq(it.regained, 1);
+    cr_assert_eq(it.snapshots, 2);
+    it.store.remove("keyed.op", "a");
+    it.loop.run_until([&] { return !it.values.contains("a"); });
+}
--- /dev/null
+++ b/utilities/standins/platform/store_standin.cpp
@@ -0,0 +1,230 @@
+#include "store_standin.hpp"
+
+#include <almondcart/core/json.hpp>
+#include <almondcart/core/text.hpp>
+
+#include <absl/strings/escaping.h>
+
+#include <stdexcept>
+#include <utility>
+
+namespace almondcart::standins {
+
+namespace {
+
+constexpr std::size_t length_bytes = 4;
+constexpr std::size_t offset_bytes = 8;
+
+std::string big_endian(std::uint64_t value, std::size_t bytes)
+{
+    constexpr unsigned byte_bits = 8;
+    constexpr unsigned byte_mask = 0xff;
+    std::string text(bytes, '\0');
+    for (std::size_t i = bytes; i-- > 0; value >>= byte_bits)
+        text[i] = static_cast<char>(value & byte_mask);
+    return text;
+}
+
+std::size_t read_length(std::string_view data)
+{
+    constexpr unsigned byte_bits = 8;
+    std::size_t value = 0;
+    for (std::size_t i = 0; i < length_bytes; ++i)
+        value = (value << byte_bits) | static_cast<unsigned char>(data[i]);
+    return value;
+}
+
+std::int64_t query_integer(http_exchange const& exchange, std::string_view name)
+{
+    return parse_integer<std::int64_t>(exchange.query_value(name).value_or("")).value_or(0);
+}
+
+std::string query_topic(http_exchange const& exchange)
+{
+    return exchange.query_value("topic").value_or("");
+}
+
+void respond_json(http_exchange& exchange, int status, Json::Value const& value)
+{
+    exchange.respond_text(status, "application/json", to_compact_json(value));
+}
+
+} // namespace
+
+store_standin::store_standin(event_loop& loop)
+    : loop_(loop)
+{
+    auto server = http_server::create(loop, {"127.0.0.1:0"});
+    if (!server.ok())
+        throw std::runtime_error("store stand-in: no free port");
+    server_ = *std::move(server);
+    auto const route = [this](std::string_view method, std::string_view path, auto handle)
+    {
+        server_->route(
+            method,
+            path,
+            [this, handle](std::shared_ptr<http_exchange> const& exchange)
+            {
+                if (is_down_)
+                    exchange->respond_text(503, "text/plain", "");
+                else
+                    handle(exchange);
+            });
+    };
+    route("POST", "/-/log-append", [this](auto const& it) { append(*it); });
+    route("GET", "/-/log-read", [this](auto const& it) { read(it); });
+    route("GET", "/-/log-newest", [this](auto const& it) { list_newest(*it); });
+}
+
+void store_standin::put(
+    std::string const& topic,
+    std::string const& key,
+    std::string const& value)
+{
+    topics_[topic].records.push_back({key, value});
+    wake_reads();
+}
+
+void store_standin::append(http_exchange& exchange)
+{
+    auto& target = topics_[query_topic(exchange)];
+    auto const end = static_cast<std::int64_t>(target.records.size());
+    Json::Value answer(Json::objectValue);
+    if (exchange.query_value("at") && query_integer(exchange, "at") != end)
+    {
+        answer["end"] = Json::Int64(end);
+        respond_json(exchange, 412, answer);
+        return;
+    }
+    std::string_view data = exchange.body();
+    while (data.size() > length_bytes)
+    {
+        auto const length = read_length(data);
+        auto const content = data.substr(length_bytes, length);
+        auto const key_length = static_cast<unsigned char>(content[0]);
+        target.records.push_back(
+            {std::string(content.substr(1, key_length)),
+             std::string(content.substr(1 + key_length))});
+        data.remove_prefix(length_bytes + length);
+    }
+    answer["offset"] = Json::Int64(end);
+    answer["end"] = Json::Int64(target.records.size());
+    if (is_losing_answers_)
+        exchange.abort();
+    else
+        respond_json(exchange, 200, answer);
+    wake_reads();
+}
+
+void store_standin::read(std::shared_ptr<http_exchange> const& exchange)
+{
+    auto const name = query_topic(*exchange);
+    auto const from = query_integer(*exchange, "from");
+    auto const& source = topics_[name];
+    if (from < source.first)
+    {
+        exchange->respond_text(410, "application/json", "{}");
+        return;
+    }
+    if (from < static_cast<std::int64_t>(source.records.size()))
+    {
+        answer_read(source, from, *exchange);
+        return;
+    }
+    waiting_.push_back({name, from, exchange});
+    loop_.after(
+        duration(query_integer(*exchange, "waitMs")),
+        [this, name, from, weak = std::weak_ptr<http_exchange>(exchange)]
+        {
+            auto const it = weak.lock();
+            if (it == nullptr || it->is_started())
+                return;
+            answer_read(topics_[name], from, *it);
+            std::erase_if(waiting_, [&](auto const& row) { return row.exchange == it; });
+        });
+}
+
+void store_standin::answer_read(
+    topic const& source,
+    std::int64_t from,
+    http_exchange& exchange) const
+{
+    std::string body = big_endian(source.records.size(), offset_bytes);
+    body += big_endian(static_cast<std::uint64_t>(source.first), offset_bytes);
+    for (auto i = static_cast<std::size_t>(from); i < source.records.size(); ++i)
+    {
+        auto const& it = source.records[i];
+        body += big_endian(1 + it.key.size() + it.value.size(), length_bytes);
+        body += static_cast<char>(it.key.size());
+        body += it.key + it.value;
+    }
+    exchange.respond_text(200, "application/octet-stream", std::move(body));
+}
+
+void store_standin::list_newest(http_exchange& exchange) const
+{
+    Json::Value answer(Json::objectValue);
+    answer["items"] = Json::Value(Json::arrayValue);
+    answer["morePages"] = false;
+    answer["end"] = 0;
+    auto const it = topics_.find(query_topic(exchange));
+    if (it != topics_.end())
+    {
+        std::map<std::string, std::size_t> newest;
+        for (std::size_t i = 0; i < it->second.records.size(); ++i)
+            newest[it->second.records[i].key] = i;
+        for (auto const& [key, offset] : newest)
+        {
+            auto const& value = it->second.records[offset].value;
+            if (value.empty())
+                continue;
+            Json::Value item(Json::objectValue);
+            item["key"] = key;
+            item["value"] = absl::Base64Escape(value);
+            item["offset"] = Json::Int64(offset);
+            answer["items"].append(item);
+        }
+        answer["end"] = Json::Int64(it->second.records.size());
+    }
+    respond_json(exchange, 200, answer);
+}
+
+void store_standin::wake_reads()
+{
+    for (auto const& it : std::exchange(waiting_, {}))
+    {
+        auto const& source = topics_[it.topic];
+        if (it.from < static_cast<std::int64_t>(source.records.size()))
+            answer_read(source, it.from, *it.exchange);
+        else
+            waiting_.push_back(it);
+    }
+}
+
+void store_standin::drop_waiting_reads()
+{
+    for (auto const& it : std::exchange(waiting_, {}))
+        it.exchange->abort();
+}
+
+void store_standin::drop_history(std::string const& topic)
+{
+    auto& it = topics_[topic];
+    it.first = static_cast<std::int64_t>(it.records.size());
+}
+
+std::optional<std::string>
+store_standin::newest(std::string const& topic, std::string const& key) const
+{
+    auto const it = topics_.find(topic);
+    if (it == topics_.end())
+        return std::nullopt;
+    for (auto record = it->second.records.rbegin(); record != it->second.records.rend(); ++record)
+    {
+        if (record->key == key)
+            return record->value;
+    }
+    return std::nullopt;
+}
+
+} // namespace almondcart::standins
--- /dev/null
+++ b/utilities/standins/platform/store_standin.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <almondcart/http/http_server.hpp>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace almondcart::standins {
+
+/// Stand-in for the platform's store: topics with one partition, conditional appends, reads that
+/// wait, and the newest record of each key.
+class store_standin
+{
+public:
+    explicit store_standin(event_loop& loop);
+
+    std::string address() const { return server_->address(); }
+
+    /// Appends a record as another writer.
+    void put(std::string const& topic, std::string const& key, std::string const& value);
+    void remove(std::string const& topic, std::string const& key) { put(topic, key, {}); }
+
+    /// While down, each call is answered 503 and nothing is done.
+    void set_down(bool is_down) { is_down_ = is_down; }
+
+    /// Takes effect on appends, whose answers are then lost with their connection.
+    void set_losing_answers(bool is_losing) { is_losing_answers_ = is_losing; }
+
+    /// Cuts the reads that wait for records.
+    void drop_waiting_reads();
+
+    /// Deletes all records but the newest of each key.
+    void drop_history(std::string const& topic);
+
+    std::optional<std::string> newest(std::string const& topic, std::string const& key) const;
+
+private:
+    struct record
+    {
+        std::string key;
+        std::string value;
+    };
+
+    struct topic
+    {
+        std::int64_t first = 0; ///< offset of the oldest record that is kept
+        std::vector<record> records; ///< all, by offset
+    };
+
+    struct waiting_read
+    {
+        std::string topic;
+        std::int64_t from;
+        std::shared_ptr<http_exchange> exchange;
+    };
+
+    void append(http_exchange& exchange);
+    void read(std::shared_ptr<http_exchange> const& exchange);
+    void list_newest(http_exchange& exchange) const;
+    void answer_read(topic const& source, std::int64_t from, http_exchange& exchange) const;
+    void wake_reads();
+
+    event_loop& loop_;
+    std::unique_ptr<http_server> server_;
+    std::map<std::string, topic> topics_;
+    std::vector<waiting_read> waiting_;
+    bool is_down_ = false;
+    bool is_losing_answers_ = false;
+};
+
+} // namespace almondcart::standins
