--- a/services/gateway/forward_session.cpp
+++ b/services/gateway/forward_session.cpp
@@ -186,15 +186,27 @@
                 self->attempt();
             else if (result == reservation::exhausted)
                 self->refuse(
-                    result_code::budget_exhausted, "the prepaid total is used up", std::nullopt);
+                    result_code::budget_exhausted, self->describe_budget(tokens), std::nullopt);
             else
                 self->refuse(
                     result_code::budget_unavailable,
-                    "the log did not answer a draw",
+                    "the log did not answer a draw, " + self->describe_budget(tokens),
                     self->retry_after());
         });
 }
 
+std::string forward_session::describe_budget(std::int64_t needed) const
+{
+    auto const& ledger = context_.prepaid.ledger();
+    return fmt::format(
+        "needs={} holds={} total={} drawn={} log_offset={}",
+        needed,
+        context_.prepaid.free_tokens(account_->name),
+        *account_->prepaid_tokens,
+        ledger.drawn(account_->name),
+        ledger.end());
+}
+
 void forward_session::attempt()
 {
     answer_ = {};
--- a/services/gateway/forward_session.hpp
+++ b/services/gateway/forward_session.hpp
@@ -37,6 +37,7 @@
     bool admit();
     bool find_account();
     void reserve_tokens();
+    std::string describe_budget(std::int64_t needed) const;
     void choose_service();
     void attempt();
     bool acquire_connection();
--- a/tests/configuration_docs.cpp
+++ b/tests/configuration_docs.cpp
@@ -64,6 +64,11 @@
     check_section("services/agent/agent_settings.cpp", "Agent settings", 22);
 }
 
+Test(configuration_docs, gateway_settings_are_listed)
+{
+    check_section("services/gateway/gateway_settings.cpp", "Gateway settings", 9);
+}
+
 Test(configuration_docs, document_members_are_listed)
 {
     check_section("libraries/document/src/service_document.cpp", "Service document", 20);
