Prepaid: Send an append without an answer again

Ruled out: a shorter timeout of the call alone, because a slow store needs its time.

Change: an append that takes four times the usual time, 120 ms at the least, is sent again at its offset, each time after twice the pause. Test lost_appends_do_not_stop_service failed before.

--- a/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
@@ -42,7 +42,8 @@
     duration report_interval{400};       ///< between two appends that no request waits for
     duration silence_limit{300};         ///< after which a log that does not answer counts as lost
     duration retry_interval{50};         ///< after a conflict or a refusal
-    duration unknown_interval{400};      ///< before an append without an answer is sent again
+    duration unknown_interval{400}; ///< before an append whose connection was lost is sent again
+    duration answer_limit{120};     ///< after which an append is sent again; longer for a slow log
     duration return_interval{500};       ///< between two looks for tokens to give back
     duration clock_error{3000};          ///< by which a wall clock may be set back unnoticed
 };
@@ -144,6 +145,8 @@
         std::uint64_t sequence = 0;
         std::vector<draw_record> records;
         instant first_sent{};
+        instant last_sent{};
+        int sent_count = 0;
         bool is_in_flight = false;
         bool is_unknown = false;
     };
@@ -156,6 +159,7 @@
     draw_record create_record(std::string const& account, account_state& state, std::int64_t delta);
     bool is_log_silent() const;
     duration report_interval() const;
+    void check_answer();
     void take_over();
     void update_demand(account_state& state);
     void serve_waiting();
--- a/libraries/forwarding/src/prepaid_holder.cpp
+++ b/libraries/forwarding/src/prepaid_holder.cpp
@@ -148,6 +148,24 @@
     return pending_ && hooks_.clock() - pending_->first_sent >= settings_.silence_limit;
 }
 
+void prepaid_holder::check_answer()
+{
+    // An append may be repeated at its offset, where at most one of the copies takes effect.
+    constexpr int usual_time_factor = 4;
+    constexpr int doubling_limit = 5;
+    if (!pending_ || !pending_->is_in_flight)
+        return;
+    // Each repeat waits twice as long, because a slow log has to do them all.
+    auto const first_limit = std::max(settings_.answer_limit, append_time_ * usual_time_factor);
+    auto const limit = first_limit * (1 << std::min(pending_->sent_count - 1, doubling_limit));
+    if (hooks_.clock() - pending_->last_sent < limit)
+        return;
+    pending_->is_unknown = true;
+    pending_->is_in_flight = false;
+    next_attempt_ = hooks_.clock();
+    resolve();
+}
+
 duration prepaid_holder::report_interval() const
 {
     // Reports of all routers together take at most about half of a slow log's time, and leave time
@@ -270,6 +288,7 @@
     if (is_return_due_)
         next_return_ = now + settings_.return_interval;
     serve_waiting();
+    check_answer();
     if (pending_ && !pending_->is_in_flight && now >= next_attempt_)
         send();
     else if (!pending_ && is_synced_ && now >= next_attempt_)
@@ -329,6 +348,8 @@
 void prepaid_holder::send()
 {
     pending_->is_in_flight = true;
+    pending_->last_sent = hooks_.clock();
+    ++pending_->sent_count;
     hooks_.append(
         pending_->at,
         pending_->records,
--- a/tests/prepaid.cpp
+++ b/tests/prepaid.cpp
@@ -139,6 +139,16 @@
     cr_assert_eq(fleet.count(reservation::exhausted), 0);
 }
 
+// Pattern: lost calls. Guards against draws that wait for the answer to a call that never arrived.
+Test(prepaid, lost_appends_do_not_stop_service)
+{
+    prepaid_fleet fleet(4, 4'000'000);
+    fleet.lose_each(3);
+    fleet.run(duration(10'000), 20'000, 2'000);
+    cr_assert_eq(fleet.count(reservation::unavailable), 0);
+    cr_assert_eq(fleet.count(reservation::exhausted), 0);
+}
+
 // Pattern: lumpy demand and a lost log. Guards against a spending limit from a quiet moment.
 Test(prepaid, rare_large_requests_are_served_while_the_log_is_lost)
 {
--- a/tests/prepaid_fleet.hpp
+++ b/tests/prepaid_fleet.hpp
@@ -99,6 +99,9 @@
 
     void set_fault(int i, fake_draw_log::fault how) { routers_[i].fault = how; }
 
+    /// Loses each `n`th append, without any answer.
+    void lose_each(int n) { lose_each_ = n; }
+
     /// Time that the log takes for each append, one after the other; 0: at once.
     void set_latency(duration latency) { latency_ = latency; }
     void set_total(std::int64_t total) { total_ = total; }
@@ -199,6 +202,8 @@
         std::vector<forwarding::draw_record> const& records,
         std::function<void(forwarding::append_outcome)> done)
     {
+        if (lose_each_ > 0 && ++appends_ % lose_each_ == 0)
+            return;
         if (latency_ == duration(0) && slow_.empty())
         {
             done(log_.append(at, records, routers_[i].fault));
@@ -235,6 +240,8 @@
     int starts_ = 0;
     fake_draw_log log_;
     duration latency_{0};
+    int lose_each_ = 0;
+    int appends_ = 0;
     std::deque<slow_append> slow_;
     std::map<int, router> routers_;
     std::map<forwarding::reservation, int> results_;
