Prepaid: Let reports make way for draws after a conflict

Change: next tries are spread over 5 ms a writer for reports and 1 ms for draws that requests wait for.

--- a/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
@@ -160,6 +160,7 @@
     bool is_log_silent() const;
     duration report_interval() const;
     void check_answer();
+    duration conflict_pause();
     void take_over();
     void update_demand(account_state& state);
     void serve_waiting();
@@ -172,6 +173,7 @@
 
     prepaid_holder_settings settings_;
     hooks hooks_;
+    std::uint64_t random_;
     prepaid_ledger ledger_;
     std::map<std::string, account_state> accounts_;
     std::optional<pending_append> pending_;
--- a/libraries/forwarding/src/prepaid_holder.cpp
+++ b/libraries/forwarding/src/prepaid_holder.cpp
@@ -1,3 +1,4 @@
+#include <almondcart/core/hash.hpp>
 #include <almondcart/forwarding/prepaid_holder.hpp>
 
 #include <algorithm>
@@ -36,6 +37,7 @@
 prepaid_holder::prepaid_holder(prepaid_holder_settings settings, hooks hooks)
     : settings_(std::move(settings))
     , hooks_(std::move(hooks))
+    , random_(hash64(settings_.writer) | 1U)
     , started_(hooks_.clock())
     , started_wall_ms_(hooks_.wall_time_ms())
 {}
@@ -94,7 +96,7 @@
     if (conflict_at_ && ledger_.end() > *conflict_at_)
     {
         conflict_at_.reset();
-        next_attempt_ = hooks_.clock();
+        next_attempt_ = hooks_.clock() + conflict_pause();
     }
     tick();
 }
@@ -148,6 +150,22 @@
     return pending_ && hooks_.clock() - pending_->first_sent >= settings_.silence_limit;
 }
 
+duration prepaid_holder::conflict_pause()
+{
+    // Writers that all try again at once are all but one in conflict again. Reports are spread over
+    // about the time that they take; draws for which requests wait go first, spread over less.
+    constexpr duration report_turn{5};
+    bool const is_urgent = std::any_of(
+        accounts_.begin(), accounts_.end(), [](auto const& it) { return !it.second.waiting.empty(); });
+    auto const writers = static_cast<std::int64_t>(ledger_.active_vm_count());
+    auto const range = is_urgent ? duration(writers) : report_turn * writers;
+    // xorshift64
+    random_ ^= random_ << 13U;
+    random_ ^= random_ >> 7U;
+    random_ ^= random_ << 17U;
+    return duration(static_cast<std::int64_t>(random_ % static_cast<std::uint64_t>(range.count() + 1)));
+}
+
 void prepaid_holder::check_answer()
 {
     // An append may be repeated at its offset, where at most one of the copies takes effect.
