--- a/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
@@ -44,8 +44,8 @@
     duration retry_interval{50};         ///< after a conflict or a refusal
     duration unknown_interval{400}; ///< before an append whose connection was lost is sent again
     duration answer_limit{120};     ///< after which an append is sent again; longer for a slow log
-    duration return_interval{500};       ///< between two looks for tokens to give back
-    duration clock_error{3000};          ///< by which a wall clock may be set back unnoticed
+    duration return_interval{500};  ///< between two looks for tokens to give back
+    duration clock_error{3000};     ///< by which a wall clock may be set back unnoticed
 };
 
 /// Tokens that this process has drawn from prepaid totals and may spend. Only the process that drew
--- a/libraries/forwarding/src/prepaid_holder.cpp
+++ b/libraries/forwarding/src/prepaid_holder.cpp
@@ -156,14 +156,17 @@
     // about the time that they take; draws for which requests wait go first, spread over less.
     constexpr duration report_turn{5};
     bool const is_urgent = std::any_of(
-        accounts_.begin(), accounts_.end(), [](auto const& it) { return !it.second.waiting.empty(); });
+        accounts_.begin(),
+        accounts_.end(),
+        [](auto const& it) { return !it.second.waiting.empty(); });
     auto const writers = static_cast<std::int64_t>(ledger_.active_vm_count());
     auto const range = is_urgent ? duration(writers) : report_turn * writers;
     // xorshift64
     random_ ^= random_ << 13U;
     random_ ^= random_ >> 7U;
     random_ ^= random_ << 17U;
-    return duration(static_cast<std::int64_t>(random_ % static_cast<std::uint64_t>(range.count() + 1)));
+    return duration(
+        static_cast<std::int64_t>(random_ % static_cast<std::uint64_t>(range.count() + 1)));
 }
 
 void prepaid_holder::check_answer()
--- a/services/gateway/forward_session.cpp
+++ b/services/gateway/forward_session.cpp
@@ -172,36 +172,37 @@
         return;
     }
     auto const tokens = request_.size->worst_case_tokens();
-    context_.prepaid.reserve(
-        account_->name,
-        tokens,
-        std::min(draw_patience, time_left() / 2),
-        [self = shared_from_this(), tokens](reservation result)
-        {
-            if (result == reservation::granted)
-                self->reserved_tokens_ = tokens;
-            if (self->is_done_)
-                self->settle_tokens();
-            else if (result == reservation::granted)
-                self->attempt();
-            else if (result == reservation::exhausted)
-                self->refuse(
-                    result_code::budget_exhausted, self->describe_budget(tokens), std::nullopt);
-            else
-                self->refuse(
-                    result_code::budget_unavailable,
-                    "the log did not answer a draw, " + self->describe_budget(tokens),
-                    self->retry_after());
-        });
+    context_.prepaid.of(account_->name)
+        .reserve(
+            account_->name,
+            tokens,
+            std::min(draw_patience, time_left() / 2),
+            [self = shared_from_this(), tokens](reservation result)
+            {
+                if (result == reservation::granted)
+                    self->reserved_tokens_ = tokens;
+                if (self->is_done_)
+                    self->settle_tokens();
+                else if (result == reservation::granted)
+                    self->attempt();
+                else if (result == reservation::exhausted)
+                    self->refuse(
+                        result_code::budget_exhausted, self->describe_budget(tokens), std::nullopt);
+                else
+                    self->refuse(
+                        result_code::budget_unavailable,
+                        "the log did not answer a draw, " + self->describe_budget(tokens),
+                        self->retry_after());
+            });
 }
 
 std::string forward_session::describe_budget(std::int64_t needed) const
 {
-    auto const& ledger = context_.prepaid.ledger();
+    auto const& ledger = context_.prepaid.of(account_->name).ledger();
     return fmt::format(
         "needs={} holds={} total={} drawn={} log_offset={}",
         needed,
-        context_.prepaid.free_tokens(account_->name),
+        context_.prepaid.of(account_->name).free_tokens(account_->name),
         *account_->prepaid_tokens,
         ledger.drawn(account_->name),
         ledger.end());
@@ -564,7 +565,8 @@
         used = request_.size->input_tokens +
                std::min(request_.size->output_limit_tokens, events_.event_count() * per_event);
     }
-    context_.prepaid.settle(account_->name, std::exchange(reserved_tokens_, 0), used);
+    context_.prepaid.of(account_->name)
+        .settle(account_->name, std::exchange(reserved_tokens_, 0), used);
 }
 
 void forward_session::finish(std::string_view outcome, int status)
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -84,6 +84,7 @@
           loop_,
           store_,
           prepaid_settings(settings_),
+          settings_.prepaid_topics,
           [this](std::string const& name) -> std::optional<std::int64_t>
           {
               if (context_.configuration == nullptr)
@@ -102,7 +103,7 @@
           nullptr,
           directory_,
           picker_,
-          prepaid_.holder(),
+          prepaid_,
           connections_,
           metrics_,
           {},
@@ -225,7 +226,7 @@
             context_.configuration->version(),
             it.name,
             it.prepaid_tokens.value_or(-1),
-            prepaid_.holder().ledger().drawn(it.name));
+            prepaid_.of(it.name).ledger().drawn(it.name));
     update_readiness();
 }
 
@@ -303,7 +304,7 @@
 {
     update_readiness();
     flush_output_logging();
-    prepaid_.holder().tick();
+    prepaid_.tick();
     connections_.expire();
     metrics_.set_gauges(
         server_->connection_count(), connections_.opened_count(), store_.call_count());
@@ -349,8 +350,8 @@
     server_->close_idle();
     bool const is_idle = server_->exchange_count() == 0;
     if (is_idle)
-        prepaid_.holder().begin_shutdown();
-    bool const is_settled = is_idle && !prepaid_.holder().is_busy();
+        prepaid_.begin_shutdown();
+    bool const is_settled = is_idle && !prepaid_.is_busy();
     if (!is_settled && now < context_.stop_deadline())
         return;
     spdlog::info("[gateway] stops with requests={}", server_->exchange_count());
--- a/services/gateway/gateway.hpp
+++ b/services/gateway/gateway.hpp
@@ -10,7 +10,7 @@
 #include <string>
 
 #include "gateway_context.hpp"
-#include "prepaid_log.hpp"
+#include "prepaid_accounts.hpp"
 
 namespace almondcart {
 
@@ -57,7 +57,7 @@
     forwarding::upstream_directory directory_;
     forwarding::upstream_picker picker_;
     gateway_metrics metrics_;
-    prepaid_log prepaid_;
+    prepaid_accounts prepaid_;
     gateway_context context_;
     std::unique_ptr<platform::keyed_topic> configuration_topic_;
     std::unique_ptr<platform::keyed_topic> upstream_topic_;
--- a/services/gateway/gateway_context.hpp
+++ b/services/gateway/gateway_context.hpp
@@ -2,7 +2,6 @@
 
 #include <almondcart/forwarding/configuration.hpp>
 #include <almondcart/forwarding/exchange_codec.hpp>
-#include <almondcart/forwarding/prepaid_holder.hpp>
 #include <almondcart/forwarding/upstream_directory.hpp>
 #include <almondcart/forwarding/upstream_picker.hpp>
 #include <almondcart/http/event_loop.hpp>
@@ -15,6 +14,7 @@
 
 #include "gateway_metrics.hpp"
 #include "gateway_settings.hpp"
+#include "prepaid_accounts.hpp"
 #include "upstream_connections.hpp"
 
 namespace almondcart {
@@ -32,7 +32,7 @@
     forwarding::configuration_pointer configuration; ///< null until one is known
     forwarding::upstream_directory& directory;
     forwarding::upstream_picker& picker;
-    forwarding::prepaid_holder& prepaid;
+    prepaid_accounts& prepaid;
     upstream_connections& connections;
     gateway_metrics& metrics;
     std::map<std::string, retry_budget> retries; ///< by service
--- a/services/gateway/gateway_settings.hpp
+++ b/services/gateway/gateway_settings.hpp
@@ -4,6 +4,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <cstddef>
 #include <string>
 
 namespace almondcart {
@@ -18,8 +19,9 @@
     std::string status_listen;    ///< "ip:port" for metrics
     std::string store_address;    ///< "ip:port" of the platform's store
     std::string log_level = "info";
-    duration shutdown_grace{8000}; ///< after which the platform kills a process that was to stop
-    double retry_share = 0.1;      ///< repeated attempts per first attempt
+    duration shutdown_grace{8000};  ///< after which the platform kills a process that was to stop
+    std::size_t prepaid_topics = 1; ///< topics for prepaid draws, the same on all gateways
+    double retry_share = 0.1;       ///< repeated attempts per first attempt
 
     /// Errors carry `invalid_settings` and name file, member and what was expected.
     static absl::StatusOr<gateway_settings> load(std::string const& file);
--- a/services/gateway/prepaid_log.cpp
+++ b/services/gateway/prepaid_log.cpp
@@ -37,9 +37,11 @@
 prepaid_log::prepaid_log(
     event_loop& loop,
     platform::store_client& store,
+    std::string topic,
     forwarding::prepaid_holder_settings settings,
     forwarding::prepaid_holder::total_function total)
     : store_(store)
+    , topic_(std::move(topic))
     , holder_(
           std::move(settings),
           {.clock = [&loop] { return loop.now(); },
@@ -59,7 +61,7 @@
                    taken,
                    written_off);
            }})
-    , follower_(loop, store, {.topic = topic, .pause = read_pause}, create_hooks())
+    , follower_(loop, store, {.topic = topic_, .pause = read_pause}, create_hooks())
 {}
 
 platform::keyed_topic::hooks prepaid_log::create_hooks()
@@ -111,7 +113,7 @@
     for (auto const& it : records)
         encoded.push_back({0, it.key(), it.value()});
     store_.append(
-        topic,
+        topic_,
         at,
         encoded,
         [this, done = std::move(done), at, n = records.size()](
--- a/services/gateway/prepaid_log.hpp
+++ b/services/gateway/prepaid_log.hpp
@@ -4,6 +4,7 @@
 #include <almondcart/platform/keyed_topic.hpp>
 
 #include <functional>
+#include <string>
 #include <vector>
 
 namespace almondcart {
@@ -12,12 +13,10 @@
 class prepaid_log
 {
 public:
-    /// Topic with one record for each client account and VM.
-    static constexpr char const* topic = "keyed.prepaid-draws";
-
     prepaid_log(
         event_loop& loop,
         platform::store_client& store,
+        std::string topic,
         forwarding::prepaid_holder_settings settings,
         forwarding::prepaid_holder::total_function total);
 
@@ -34,6 +33,7 @@
     void apply(platform::keyed_record const& record);
 
     platform::store_client& store_;
+    std::string topic_;
     forwarding::prepaid_holder holder_;
     platform::keyed_topic follower_;
 };
--- a/tests/configuration_docs.cpp
+++ b/tests/configuration_docs.cpp
@@ -66,7 +66,7 @@
 
 Test(configuration_docs, gateway_settings_are_listed)
 {
-    check_section("services/gateway/gateway_settings.cpp", "Gateway settings", 9);
+    check_section("services/gateway/gateway_settings.cpp", "Gateway settings", 10);
 }
 
 Test(configuration_docs, document_members_are_listed)
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -350,7 +350,7 @@
     cr_assert_eq(it.ask("/stream/x", sized("r-2", 500, 40)).head.status, 402);
     it.configure(2, 2'000);
     it.run_until([&] { return it.ask("/stream/x", sized("r-3", 500, 40)).head.status == 200; });
-    auto const record = it.store.newest("keyed.prepaid-draws", "club/entry-1");
+    auto const record = it.store.newest("keyed.prepaid-draws-0", "club/entry-1");
     cr_assert(record.has_value());
     cr_assert_leq((*parse_json(*record))["drawn_tokens"].asInt64(), 2'000);
 }
@@ -369,7 +369,7 @@
     it.wait_until_ready();
     cr_assert_eq(it.ask("/stream/x", sized("r-2", 900, 24)).head.status, 200);
     it.run_until([&] { return it.ask("/stream/x", sized("r-3", 900, 24)).head.status != 200; });
-    auto const record = it.store.newest("keyed.prepaid-draws", "club/entry-1");
+    auto const record = it.store.newest("keyed.prepaid-draws-0", "club/entry-1");
     cr_assert_leq((*parse_json(*record))["drawn_tokens"].asInt64(), 3'000);
 }
 
@@ -424,7 +424,7 @@
     it.run_until(
         [&]
         {
-            auto const record = it.store.newest("keyed.prepaid-draws", "club/entry-1");
+            auto const record = it.store.newest("keyed.prepaid-draws-0", "club/entry-1");
             return record && (*parse_json(*record))["drawn_tokens"].asInt64() == 124;
         });
     // The process ends once the log has answered, and then the load balancer gets no answer.
