Gateway: Split the session, remove what nothing uses, name topics in the adapter

Ruled out: a class for answers of its own, which would share nearly all members.

Change: the session's functions stand in three files by phase; dead members are gone; the names of the topics are in platform/.

--- a/libraries/forwarding/include/almondcart/forwarding/upstream_picker.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/upstream_picker.hpp
@@ -57,9 +57,6 @@
     /// Best upstream, null if the service has none that accepts work.
     upstream_pointer pick(pick_request const& request);
 
-    /// Share of the places of a service that this router occupies, 0 to 1.
-    double occupancy(std::string_view service) const;
-
     /// Counts a request that is sent to `target`.
     std::unique_ptr<work_ticket> begin(upstream_pointer target, prompt const* size);
 
@@ -76,17 +73,13 @@
         int in_flight = 0;
         std::int64_t waiting_tokens = 0; ///< of prompts without a first event yet
         upstream_health health;
-        double latency_factor = 1; ///< smoothed first-event time against the fleet's, at least 1
         std::unordered_map<std::uint64_t, instant> cached_parts; ///< last use by this router
     };
 
     double
     cost(upstream const& candidate, upstream_state const& state, pick_request const& request);
-    std::int64_t uncached_tokens(
-        upstream const& candidate,
-        upstream_state const& state,
-        prompt const& size,
-        bool is_home) const;
+    std::int64_t
+    uncached_tokens(upstream_state const& state, prompt const& size, bool is_home) const;
     upstream_pointer home_of(std::vector<upstream_pointer> const& candidates, prompt const& size);
     upstream_state& state_of(std::string const& id) { return states_[id]; }
     void remember_parts(upstream_state& state, prompt const& size);
--- a/libraries/forwarding/src/upstream_picker.cpp
+++ b/libraries/forwarding/src/upstream_picker.cpp
@@ -84,7 +84,7 @@
         auto const& state = state_of(it->entry.id);
         double value = cost(*it, state, request);
         if (request.size != nullptr)
-            value += static_cast<double>(uncached_tokens(*it, state, *request.size, it == home));
+            value += static_cast<double>(uncached_tokens(state, *request.size, it == home));
         random_ = mix(random_);
         constexpr double tie_break = 1e-3;
         value += tie_break * static_cast<double>(random_ % 1000) / 1000;
@@ -116,7 +116,6 @@
 }
 
 std::int64_t upstream_picker::uncached_tokens(
-    upstream const& /*candidate*/,
     upstream_state const& state,
     prompt const& size,
     bool is_home) const
@@ -155,21 +154,6 @@
     return home;
 }
 
-double upstream_picker::occupancy(std::string_view service) const
-{
-    int slots = 0;
-    int in_flight = 0;
-    for (auto const& it : directory_.of_service(service))
-    {
-        if (!it->accepts_work())
-            continue;
-        slots += it->entry.slots;
-        auto const state = states_.find(it->entry.id);
-        in_flight += state == states_.end() ? 0 : state->second.in_flight;
-    }
-    return slots == 0 ? 1.0 : static_cast<double>(in_flight) / slots;
-}
-
 std::unique_ptr<work_ticket> upstream_picker::begin(upstream_pointer target, prompt const* size)
 {
     return std::make_unique<work_ticket>(*this, std::move(target), size);
@@ -199,7 +183,7 @@
     ++state.in_flight;
     if (size == nullptr)
         return;
-    waiting_tokens_ = picker_.uncached_tokens(*target_, state, *size, false);
+    waiting_tokens_ = picker_.uncached_tokens(state, *size, false);
     state.waiting_tokens += waiting_tokens_;
     picker_.remember_parts(state, *size);
 }
--- /dev/null
+++ b/services/gateway/forward_session_end.cpp
@@ -0,0 +1,150 @@
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "forward_session.hpp"
+
+namespace almondcart {
+
+namespace {
+
+/// Longest time after which a refused caller is asked to come back.
+constexpr duration retry_after_longest{1500};
+
+std::string error_body(result_code code)
+{
+    auto const& entry = entry_of(code);
+    return fmt::format(
+        R"({{"code":{},"name":"{}","ran":"{}"}})",
+        static_cast<int>(code),
+        entry.name,
+        name_of(entry.ran));
+}
+
+} // namespace
+
+void forward_session::expire()
+{
+    if (is_done_)
+        return;
+    bool const is_unsent = run_ == run_state::not_sent && connection_ == nullptr;
+    drop_connection(false);
+    if (is_unsent)
+        refuse(result_code::overloaded, "the time limit passed", retry_after());
+    else
+        fail(result_code::outcome_unknown, "the time limit passed");
+}
+
+void forward_session::on_client_gone()
+{
+    if (is_done_)
+        return;
+    if (connection_ != nullptr)
+        run_ = run_state::maybe_run;
+    drop_connection(false);
+    finish("caller_left", 0);
+}
+
+duration forward_session::retry_after() const
+{
+    return context_.spread(
+        retry_soon, std::clamp(time_left() / 3, retry_later, retry_after_longest));
+}
+
+void forward_session::refuse(
+    result_code code,
+    std::string_view detail,
+    std::optional<duration> retry_after)
+{
+    http_headers headers{{"Content-Type", "application/json"}};
+    if (retry_after)
+    {
+        constexpr double milliseconds_per_second = 1000;
+        headers.emplace_back(
+            "Retry-After",
+            fmt::format(
+                "{:.2f}", static_cast<double>(retry_after->count()) / milliseconds_per_second));
+    }
+    auto const& entry = entry_of(code);
+    spdlog::info("[forward] request={} refused {}: {}", request_.id, entry.name, detail);
+    if (is_answer_started_)
+        exchange_->abort();
+    else
+        exchange_->respond(entry.http_status, headers, error_body(code));
+    finish(entry.name, entry.http_status);
+}
+
+void forward_session::fail(result_code code, std::string_view detail)
+{
+    auto const& entry = entry_of(code);
+    spdlog::info("[forward] request={} failed {}: {}", request_.id, entry.name, detail);
+    if (is_answer_started_)
+        exchange_->abort();
+    else
+        exchange_->respond(
+            entry.http_status, {{"Content-Type", "application/json"}}, error_body(code));
+    finish(entry.name, entry.http_status);
+}
+
+void forward_session::drop_connection(bool is_finished)
+{
+    if (connection_ == nullptr)
+        return;
+    auto connection = std::exchange(connection_, nullptr);
+    if (is_finished)
+        context_.connections.release(ticket_->target(), std::move(connection));
+    else
+    {
+        if (connection->is_connected())
+            run_ = run_state::maybe_run;
+        context_.connections.discard(ticket_->target(), std::move(connection));
+    }
+}
+
+void forward_session::settle_tokens()
+{
+    if (reserved_tokens_ == 0)
+        return;
+    std::int64_t used = 0;
+    if (run_ == run_state::maybe_run)
+    {
+        auto const per_event = service_->engine ? service_->engine->tokens_per_event : 1;
+        used = request_.size->input_tokens +
+               std::min(request_.size->output_limit_tokens, events_.event_count() * per_event);
+    }
+    context_.prepaid.of(account_->name)
+        .settle(account_->name, std::exchange(reserved_tokens_, 0), used);
+}
+
+void forward_session::finish(std::string_view outcome, int status)
+{
+    if (std::exchange(is_done_, true))
+        return;
+    deadline_timer_.cancel();
+    silence_timer_.cancel();
+    auto const total = context_.loop.now() - arrived_;
+    auto const kind = route_ == nullptr ? "none" : forwarding::name_of(route_->kind);
+    context_.metrics.count_outcome(kind, outcome);
+    context_.metrics.observe_total(kind, total);
+    spdlog::info(
+        "[forward] request={} outcome={} status={} route={} account={} configuration={} "
+        "upstream={} "
+        "attempts={} events={} first_ms={} total_ms={} limit_ms={}",
+        request_.id,
+        outcome,
+        status,
+        route_ == nullptr ? "-" : route_->name,
+        account_ == nullptr ? "-" : account_->name,
+        configuration_ == nullptr ? 0 : configuration_->version(),
+        last_upstream_.empty() ? "-" : last_upstream_,
+        attempts_,
+        events_.event_count(),
+        first_byte_time_ ? first_byte_time_->count() : -1,
+        total.count(),
+        (deadline_ - arrived_).count());
+    ticket_.reset();
+    settle_tokens();
+}
+
+} // namespace almondcart
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -18,11 +18,6 @@
 
 namespace {
 
-/// Topics of the operator's configuration and of the registry of upstreams.
-constexpr char const* configuration_topic = "keyed.op";
-constexpr char const* configuration_key = "config";
-constexpr char const* upstream_topic = "keyed.servers";
-
 /// Pause between reads of the registry, where each upstream writes about once a second.
 constexpr duration upstream_pause{200};
 
@@ -176,7 +171,7 @@
     platform::keyed_topic::hooks hooks;
     auto const apply = [this](platform::keyed_record const& record)
     {
-        if (record.key == configuration_key && record.value)
+        if (record.key == platform::configuration_key && record.value)
             apply_configuration(*record.value, record.offset);
     };
     hooks.on_snapshot = [apply](auto const& records, std::int64_t /*end*/)
@@ -192,7 +187,7 @@
     configuration_topic_ = std::make_unique<platform::keyed_topic>(
         loop_,
         store_,
-        platform::keyed_topic_settings{.topic = configuration_topic},
+        platform::keyed_topic_settings{.topic = platform::configuration_topic},
         std::move(hooks));
     configuration_topic_->start();
 }
@@ -254,7 +249,7 @@
     upstream_topic_ = std::make_unique<platform::keyed_topic>(
         loop_,
         store_,
-        platform::keyed_topic_settings{.topic = upstream_topic, .pause = upstream_pause},
+        platform::keyed_topic_settings{.topic = platform::upstream_topic, .pause = upstream_pause},
         std::move(hooks));
     upstream_topic_->start();
 }
--- a/services/gateway/gateway_context.hpp
+++ b/services/gateway/gateway_context.hpp
@@ -23,6 +23,11 @@
 /// of the readiness check, which it asks for once a second.
 inline constexpr duration drain_time{2500};
 
+/// When a refused caller may come back: where another router may serve it at once, and where it
+/// depends on something that takes longer.
+inline constexpr duration retry_soon{200};
+inline constexpr duration retry_later{700};
+
 /// What the sessions of a gateway share. All members outlive the sessions.
 struct gateway_context
 {
--- a/utilities/standins/platform/store_standin.cpp
+++ b/utilities/standins/platform/store_standin.cpp
@@ -106,10 +106,7 @@
     }
     answer["offset"] = Json::Int64(end);
     answer["end"] = Json::Int64(target.records.size());
-    if (is_losing_answers_)
-        exchange.abort();
-    else
-        respond_json(exchange, 200, answer);
+    respond_json(exchange, 200, answer);
     wake_reads();
 }
 
--- a/utilities/standins/platform/store_standin.hpp
+++ b/utilities/standins/platform/store_standin.hpp
@@ -27,9 +27,6 @@
     /// While down, each call is answered 503 and nothing is done.
     void set_down(bool is_down) { is_down_ = is_down; }
 
-    /// Takes effect on appends, whose answers are then lost with their connection.
-    void set_losing_answers(bool is_losing) { is_losing_answers_ = is_losing; }
-
     /// Cuts the reads that wait for records.
     void drop_waiting_reads();
 
@@ -69,7 +66,6 @@
     std::map<std::string, topic> topics_;
     std::vector<waiting_read> waiting_;
     bool is_down_ = false;
-    bool is_losing_answers_ = false;
 };
 
 } // namespace almondcart::standins
