--- a/libraries/forwarding/include/almondcart/forwarding/prepaid_ledger.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/prepaid_ledger.hpp
@@ -47,23 +47,32 @@
 /// Tokens of each account that routers have drawn from the prepaid totals. It holds the newest
 /// record of each owner, up to a position of the log. Records are appended only where the writer
 /// knows the whole log, so a sum over the owners never passes the total that the writer knew.
+///
+/// A snapshot may hold records at and behind the position from which reading goes on. They replace
+/// older ones of their owners only; the position moves over records that are passed in order.
 class prepaid_ledger
 {
 public:
-    /// Takes over the record at `offset`, unless it is known already.
+    /// Takes over the record at `offset`, unless a newer one of its owner is known already.
     void apply(std::int64_t offset, draw_record const& record);
 
     /// Skips a record without meaning for the ledger.
     void skip(std::int64_t offset);
 
-    /// Tells that the log ends at `end`, which records before it have made known.
+    /// Tells that all records before `end` are known.
     void advance(std::int64_t end);
 
     std::int64_t drawn(std::string_view account) const;
     std::int64_t drawn_by(draw_owner const& owner) const;
 
-    /// Newest records of all owners.
-    std::map<draw_owner, draw_record> const& records() const { return by_owner_; }
+    /// Newest record of an owner and its offset.
+    struct entry
+    {
+        draw_record record;
+        std::int64_t offset = -1;
+    };
+
+    std::map<draw_owner, entry> const& entries() const { return by_owner_; }
 
     /// Demand of all owners of an account, in tokens per second, as they last stated it.
     std::int64_t demand(std::string_view account) const;
@@ -86,7 +95,7 @@
     };
 
     std::int64_t end_ = 0;
-    std::map<draw_owner, draw_record> by_owner_;
+    std::map<draw_owner, entry> by_owner_;
     std::map<std::string, totals, std::less<>> by_account_;
     std::map<std::string, std::uint64_t, std::less<>> sequences_;
 };
--- a/libraries/forwarding/src/prepaid_holder.cpp
+++ b/libraries/forwarding/src/prepaid_holder.cpp
@@ -104,10 +104,11 @@
 void prepaid_holder::take_over()
 {
     clock_reading const start{started_.since_epoch.count(), started_wall_ms_};
-    for (auto const& [owner, record] : ledger_.records())
+    for (auto const& [owner, entry] : ledger_.entries())
     {
         if (owner.vm != settings_.vm)
             continue;
+        auto const& record = entry.record;
         auto& state = accounts_[owner.account];
         auto const elapsed = longest_elapsed(record.written, start, settings_.clock_error);
         state.drawn_tokens = record.drawn_tokens;
--- a/libraries/forwarding/src/prepaid_ledger.cpp
+++ b/libraries/forwarding/src/prepaid_ledger.cpp
@@ -63,21 +63,22 @@
 
 void prepaid_ledger::apply(std::int64_t offset, draw_record const& record)
 {
-    if (offset < end_)
-        return;
-    end_ = offset + 1;
+    skip(offset);
     auto& owner = by_owner_[record.owner];
+    if (offset <= owner.offset)
+        return;
     auto& account = by_account_[record.owner.account];
-    account.drawn_tokens += record.drawn_tokens - owner.drawn_tokens;
-    account.demand_per_s += record.demand_per_s - owner.demand_per_s;
-    owner = record;
+    account.drawn_tokens += record.drawn_tokens - owner.record.drawn_tokens;
+    account.demand_per_s += record.demand_per_s - owner.record.demand_per_s;
+    owner = {record, offset};
     auto& sequence = sequences_[record.writer];
     sequence = std::max(sequence, record.sequence);
 }
 
 void prepaid_ledger::skip(std::int64_t offset)
 {
-    end_ = std::max(end_, offset + 1);
+    if (offset == end_)
+        ++end_;
 }
 
 void prepaid_ledger::advance(std::int64_t end)
@@ -94,7 +95,7 @@
 std::int64_t prepaid_ledger::drawn_by(draw_owner const& owner) const
 {
     auto const it = by_owner_.find(owner);
-    return it == by_owner_.end() ? 0 : it->second.drawn_tokens;
+    return it == by_owner_.end() ? 0 : it->second.record.drawn_tokens;
 }
 
 std::int64_t prepaid_ledger::demand(std::string_view account) const
@@ -106,15 +107,15 @@
 std::int64_t prepaid_ledger::demand_of(draw_owner const& owner) const
 {
     auto const it = by_owner_.find(owner);
-    return it == by_owner_.end() ? 0 : it->second.demand_per_s;
+    return it == by_owner_.end() ? 0 : it->second.record.demand_per_s;
 }
 
 std::size_t prepaid_ledger::active_vm_count() const
 {
     std::set<std::string_view> vms;
-    for (auto const& [owner, record] : by_owner_)
+    for (auto const& [owner, entry] : by_owner_)
     {
-        if (record.demand_per_s > 0)
+        if (entry.record.demand_per_s > 0)
             vms.insert(owner.vm);
     }
     return vms.size();
--- a/tests/prepaid.cpp
+++ b/tests/prepaid.cpp
@@ -213,6 +213,28 @@
     cr_assert(is_held);
 }
 
+// Guards against records that a snapshot of several pages hides: a later page may hold a record that
+// was written after the position from which reading goes on.
+Test(prepaid_ledger, a_snapshot_with_newer_records_hides_none_of_those_between)
+{
+    auto const record = [](std::string const& vm, std::int64_t drawn)
+    {
+        forwarding::draw_record it;
+        it.owner = {"club", vm};
+        it.drawn_tokens = drawn;
+        return it;
+    };
+    forwarding::prepaid_ledger ledger;
+    ledger.apply(2, record("vm-1", 100));
+    ledger.apply(6, record("vm-3", 400));
+    ledger.advance(5);
+    cr_assert_eq(ledger.end(), 5);
+    ledger.apply(5, record("vm-2", 200));
+    ledger.apply(6, record("vm-3", 400));
+    cr_assert_eq(ledger.drawn("club"), 700);
+    cr_assert_eq(ledger.end(), 7);
+}
+
 // Guards against records that another process cannot read.
 Test(prepaid, a_record_survives_its_text_form)
 {
