--- /dev/null
+++ b/libraries/forwarding/src/draw_record.cpp
@@ -0,0 +1,60 @@
+#include <almondcart/core/json.hpp>
+#include <almondcart/core/json_reader.hpp>
+#include <almondcart/core/status.hpp>
+#include <almondcart/forwarding/draw_record.hpp>
+
+#include <limits>
+
+namespace almondcart::forwarding {
+
+namespace {
+
+constexpr char key_separator = '/';
+
+} // namespace
+
+std::string draw_record::key() const
+{
+    return owner.account + key_separator + owner.vm;
+}
+
+std::string draw_record::value() const
+{
+    Json::Value value(Json::objectValue);
+    value["claimed_tokens"] = Json::Int64(claimed_tokens);
+    value["held_tokens"] = Json::Int64(held_tokens);
+    value["demand_per_s"] = Json::Int64(demand_per_s);
+    value["spent_tokens"] = Json::Int64(spending.spent_tokens);
+    value["slack_tokens"] = Json::Int64(spending.slack_tokens);
+    value["rate_per_s"] = Json::Int64(spending.rate_per_s);
+    value["boot_ms"] = Json::Int64(written.boot_ms);
+    value["wall_ms"] = Json::Int64(written.wall_ms);
+    return to_compact_json(value);
+}
+
+absl::StatusOr<draw_record> draw_record::parse(std::string_view key, std::string_view value)
+{
+    auto const separator = key.rfind(key_separator);
+    if (separator == std::string_view::npos)
+        return make_status(result_code::malformed_request, "draw record with an unknown key");
+    auto const json = parse_json(value);
+    if (!json.ok())
+        return json.status();
+    draw_record record;
+    record.owner = {std::string(key.substr(0, separator)), std::string(key.substr(separator + 1))};
+    json_reader reader(*json, "draw record", result_code::malformed_request);
+    constexpr auto maximum = std::numeric_limits<std::int64_t>::max();
+    record.claimed_tokens = reader.integer("claimed_tokens", 0, maximum);
+    record.held_tokens = reader.integer("held_tokens", 0, maximum);
+    record.demand_per_s = reader.integer("demand_per_s", 0, maximum);
+    record.spending.spent_tokens = reader.integer("spent_tokens", 0, maximum);
+    record.spending.slack_tokens = reader.integer("slack_tokens", 0, maximum);
+    record.spending.rate_per_s = reader.integer("rate_per_s", 0, maximum);
+    record.written.boot_ms = reader.integer("boot_ms", 0, maximum);
+    record.written.wall_ms = reader.integer("wall_ms", 0, maximum);
+    if (auto status = reader.finish(); !status.ok())
+        return status;
+    return record;
+}
+
+} // namespace almondcart::forwarding
--- /dev/null
+++ b/libraries/forwarding/src/draw_writer.cpp
@@ -0,0 +1,177 @@
+#include <almondcart/forwarding/draw_writer.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace almondcart::forwarding {
+
+namespace {
+
+/// Step to a higher epoch, if the clock from which epochs come was set back.
+constexpr std::uint64_t epoch_step = 10'000;
+
+} // namespace
+
+draw_writer::draw_writer(draw_writer_settings settings, std::uint64_t first_epoch, hooks hooks)
+    : settings_(settings)
+    , hooks_(std::move(hooks))
+    , epoch_(first_epoch)
+{}
+
+void draw_writer::tick()
+{
+    if (is_fenced_)
+        return;
+    check_answer();
+    if (hooks_.clock() < next_attempt_)
+        return;
+    if (!is_open_ && !pending_)
+        claim_epoch();
+    else if (pending_ && !pending_->is_in_flight)
+        send();
+}
+
+void draw_writer::claim_epoch()
+{
+    pending_.emplace();
+    pending_->append.epoch = epoch_;
+    pending_->first_sent = hooks_.clock();
+    send();
+}
+
+void draw_writer::write(std::vector<draw_record> records)
+{
+    pending_.emplace();
+    pending_->append = {epoch_, next_sequence_, std::move(records)};
+    pending_->first_sent = hooks_.clock();
+    send();
+}
+
+void draw_writer::send()
+{
+    pending_->is_in_flight = true;
+    pending_->last_sent = hooks_.clock();
+    ++pending_->sent_count;
+    auto const append = pending_->append;
+    hooks_.append(
+        append,
+        [this, epoch = append.epoch, sequence = append.sequence, sent = hooks_.clock()](
+            append_result const& result)
+        {
+            // Answers to copies of an append that is concluded already say nothing new.
+            if (pending_ && pending_->append.epoch == epoch &&
+                pending_->append.sequence == sequence)
+                finish(result, hooks_.clock() - sent);
+        });
+}
+
+void draw_writer::check_answer()
+{
+    // An append may be sent again, because the log takes each sequence number once.
+    constexpr int usual_time_factor = 4;
+    constexpr int doubling_limit = 5;
+    if (!pending_ || !pending_->is_in_flight)
+        return;
+    // Each repeat waits twice as long, because a slow log has to do them all.
+    auto const first_limit = std::max(settings_.answer_limit, append_time_ * usual_time_factor);
+    auto const limit = first_limit * (1 << std::min(pending_->sent_count - 1, doubling_limit));
+    if (hooks_.clock() - pending_->last_sent < limit)
+        return;
+    pending_->is_unknown = true;
+    pending_->is_in_flight = false;
+    next_attempt_ = hooks_.clock();
+}
+
+void draw_writer::finish(append_result const& result, duration time)
+{
+    pending_->is_in_flight = false;
+    if (result.outcome == append_outcome::appended)
+    {
+        append_time_ = (append_time_ + time) / 2;
+        failing_since_.reset();
+        retry_ = duration(0);
+    }
+    else if (!failing_since_)
+    {
+        failing_since_ = pending_->first_sent;
+    }
+    if (is_open_)
+        finish_write(result);
+    else
+        finish_claim(result);
+}
+
+void draw_writer::finish_claim(append_result const& result)
+{
+    if (result.outcome == append_outcome::appended)
+    {
+        pending_.reset();
+        is_open_ = true;
+        next_sequence_ = 1;
+        if (!std::exchange(was_open_, true))
+            hooks_.on_open();
+        return;
+    }
+    if (result.outcome == append_outcome::fenced)
+    {
+        // The epochs of this process rise; a lower one can only be due to its clock.
+        epoch_ += epoch_step;
+        pending_.reset();
+        return;
+    }
+    retry_later();
+}
+
+void draw_writer::finish_write(append_result const& result)
+{
+    switch (result.outcome)
+    {
+    case append_outcome::appended:
+        conclude(write_end::appended, result.offset);
+        return;
+    case append_outcome::rejected:
+        retry_later();
+        if (!pending_->is_unknown)
+            conclude(write_end::not_appended, 0);
+        return;
+    case append_outcome::unknown:
+        pending_->is_unknown = true;
+        next_attempt_ = hooks_.clock() + settings_.unknown_retry;
+        return;
+    case append_outcome::fenced:
+        is_fenced_ = true;
+        conclude(write_end::uncertain, 0);
+        return;
+    case append_outcome::out_of_sequence:
+        // A higher epoch starts with a sequence number of its own.
+        ++epoch_;
+        is_open_ = false;
+        conclude(write_end::uncertain, 0);
+        return;
+    }
+}
+
+void draw_writer::retry_later()
+{
+    retry_ = std::clamp(retry_ * 2, settings_.retry_first, settings_.retry_longest);
+    next_attempt_ = hooks_.clock() + retry_;
+}
+
+void draw_writer::conclude(write_end end, std::int64_t offset)
+{
+    auto const append = std::exchange(pending_, std::nullopt)->append;
+    if (end == write_end::appended)
+        ++next_sequence_;
+    hooks_.on_end(end, append.records, offset);
+}
+
+duration draw_writer::silent_for() const
+{
+    auto const now = hooks_.clock();
+    auto since = failing_since_;
+    if (pending_ && (!since || pending_->first_sent < *since))
+        since = pending_->first_sent;
+    return since ? now - *since : duration(0);
+}
+
+} // namespace almondcart::forwarding
--- a/libraries/forwarding/src/prepaid_holder.cpp
+++ b/libraries/forwarding/src/prepaid_holder.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <utility>
 
 namespace almondcart::forwarding {
@@ -37,11 +36,27 @@
 prepaid_holder::prepaid_holder(prepaid_holder_settings settings, hooks hooks)
     : settings_(std::move(settings))
     , hooks_(std::move(hooks))
-    , random_(hash64(settings_.writer) | 1U)
+    , random_(hash64(settings_.vm))
+    , writer_(
+          settings_.writer,
+          static_cast<std::uint64_t>(hooks_.wall_time_ms()),
+          create_writer_hooks())
     , started_(hooks_.clock())
     , started_wall_ms_(hooks_.wall_time_ms())
 {}
 
+draw_writer::hooks prepaid_holder::create_writer_hooks()
+{
+    draw_writer::hooks hooks;
+    hooks.clock = hooks_.clock;
+    hooks.append = hooks_.append;
+    hooks.on_open = [this] { hooks_.on_open(); };
+    hooks.on_end =
+        [this](write_end end, std::vector<draw_record> const& records, std::int64_t offset)
+    { finish_write(end, records, offset); };
+    return hooks;
+}
+
 void prepaid_holder::reserve(
     std::string const& account,
     std::int64_t tokens,
@@ -54,15 +69,16 @@
         return;
     }
     auto& state = accounts_[account];
-    state.window_tokens += static_cast<double>(tokens);
+    state.demand.add(tokens);
     state.largest_request = std::max(state.largest_request, tokens);
     if (state.waiting.empty() && spendable(state) >= tokens)
     {
-        state.spent_tokens += tokens;
+        state.spend(tokens);
         done(reservation::granted);
         return;
     }
-    state.waiting.push_back({tokens, hooks_.clock() + patience, std::move(done)});
+    auto const now = hooks_.clock();
+    state.waiting.push_back({tokens, now, now + patience, std::move(done)});
     tick();
 }
 
@@ -70,166 +86,103 @@
 {
     if (!hooks_.total(account))
         return;
-    accounts_[account].spent_tokens -= std::max<std::int64_t>(0, reserved - used);
+    accounts_[account].unspend(std::max<std::int64_t>(0, reserved - used));
     serve_waiting();
 }
 
 void prepaid_holder::apply(std::int64_t offset, draw_record const& record)
 {
     ledger_.apply(offset, record);
+    decide_claim();
 }
 
 void prepaid_holder::skip(std::int64_t offset)
 {
     ledger_.skip(offset);
+    decide_claim();
 }
 
 void prepaid_holder::advance(std::int64_t end)
 {
     ledger_.advance(end);
-    is_synced_ = true;
-    // An append of the predecessor may still arrive until the first one of this process.
-    if (ledger_.last_sequence(settings_.writer) == 0)
+    if (!std::exchange(is_synced_, true))
         take_over();
-    resolve();
-    // After a conflict, the records that caused it are what a new try needs.
-    if (conflict_at_ && ledger_.end() > *conflict_at_)
-    {
-        conflict_at_.reset();
-        next_attempt_ = hooks_.clock() + conflict_pause();
-    }
+    decide_claim();
     tick();
 }
 
 void prepaid_holder::take_over()
 {
-    clock_reading const start{started_.since_epoch.count(), started_wall_ms_};
     for (auto const& [owner, entry] : ledger_.entries())
     {
-        if (owner.vm != settings_.vm)
-            continue;
-        auto const& record = entry.record;
-        auto& state = accounts_[owner.account];
-        auto const elapsed = longest_elapsed(record.written, start, settings_.clock_error);
-        state.drawn_tokens = record.drawn_tokens;
-        state.spent_tokens = std::min(record.drawn_tokens, record.spending.limit_after(elapsed));
-        // Nothing is spent before a report of this process is on the log, because a further start
-        // would count from the predecessor's report.
-        state.reported = {state.spent_tokens, 0, 0};
-        state.reported_at = hooks_.clock();
-        if (hooks_.on_takeover)
-            hooks_.on_takeover(
-                owner.account,
-                state.free_tokens(),
-                state.spent_tokens - record.spending.spent_tokens);
+        if (owner.vm == settings_.vm)
+            take_over(owner, entry.record);
     }
 }
 
+void prepaid_holder::take_over(draw_owner const& owner, draw_record const& record)
+{
+    clock_reading const start{started_.since_epoch.count(), started_wall_ms_};
+    auto const elapsed = longest_elapsed(record.written, start, settings_.clock_error);
+    auto const spent = std::min(record.claimed_tokens, record.spending.limit_after(elapsed));
+    // The predecessor may not have learned that its claim fits, but may have spent it if it did.
+    auto const held =
+        fits(record) ? record.claimed_tokens : std::max(record.held_tokens, spent);
+    auto& state = accounts_[owner.account];
+    state.take_over(held, spent, record.claimed_tokens, hooks_.clock());
+    if (hooks_.on_takeover)
+        hooks_.on_takeover(
+            owner.account, state.free_tokens(), spent - record.spending.spent_tokens);
+}
+
 std::int64_t prepaid_holder::free_tokens(std::string const& account) const
 {
     auto const it = accounts_.find(account);
     return it == accounts_.end() ? 0 : it->second.free_tokens();
 }
 
-std::int64_t prepaid_holder::remaining(std::string const& account) const
+std::int64_t prepaid_holder::spendable(token_account const& state) const
 {
-    auto const total = hooks_.total(account);
-    return total ? std::max<std::int64_t>(0, *total - ledger_.drawn(account)) : 0;
+    return writer_.is_fenced() ? 0 : state.spendable(hooks_.clock());
 }
 
-std::int64_t prepaid_holder::spendable(account_state const& state) const
+std::int64_t
+prepaid_holder::remaining(std::string const& account, token_account const& state) const
 {
-    auto const now = hooks_.clock();
-    auto limit = state.reported.limit_after(now - state.reported_at);
-    if (state.reporting)
-        limit = std::min(limit, state.reporting->limit_after(now - state.reporting_since));
-    return std::min(state.free_tokens(), limit - state.spent_tokens);
+    auto const total = hooks_.total(account);
+    if (!total)
+        return 0;
+    auto const others = ledger_.claimed(account) - ledger_.claimed_by({account, settings_.vm});
+    return std::max<std::int64_t>(0, *total - others - state.held_tokens());
 }
 
 bool prepaid_holder::is_log_silent() const
 {
-    return pending_ && hooks_.clock() - pending_->first_sent >= settings_.silence_limit;
-}
-
-duration prepaid_holder::conflict_pause()
-{
-    // Writers that all try again at once are all but one in conflict again. Reports are spread over
-    // about the time that they take; draws for which requests wait go first, spread over less.
-    constexpr duration report_turn{5};
-    bool const is_urgent = std::any_of(
-        accounts_.begin(),
-        accounts_.end(),
-        [](auto const& it) { return !it.second.waiting.empty(); });
-    auto const writers = static_cast<std::int64_t>(ledger_.active_vm_count());
-    auto const range = is_urgent ? duration(writers) : report_turn * writers;
-    // xorshift64
-    random_ ^= random_ << 13U;
-    random_ ^= random_ >> 7U;
-    random_ ^= random_ << 17U;
-    return duration(
-        static_cast<std::int64_t>(random_ % static_cast<std::uint64_t>(range.count() + 1)));
-}
-
-void prepaid_holder::check_answer()
-{
-    // An append may be repeated at its offset, where at most one of the copies takes effect.
-    constexpr int usual_time_factor = 4;
-    constexpr int doubling_limit = 5;
-    if (!pending_ || !pending_->is_in_flight)
-        return;
-    // Each repeat waits twice as long, because a slow log has to do them all.
-    auto const first_limit = std::max(settings_.answer_limit, append_time_ * usual_time_factor);
-    auto const limit = first_limit * (1 << std::min(pending_->sent_count - 1, doubling_limit));
-    if (hooks_.clock() - pending_->last_sent < limit)
-        return;
-    pending_->is_unknown = true;
-    pending_->is_in_flight = false;
-    next_attempt_ = hooks_.clock();
-    resolve();
+    bool const is_claim_late =
+        claim_ && hooks_.clock() - claim_since_ >= settings_.silence_limit;
+    return is_claim_late || writer_.is_fenced() ||
+           writer_.silent_for() >= settings_.silence_limit;
 }
 
 duration prepaid_holder::report_interval() const
 {
-    // Reports of all routers together take at most about half of a slow log's time, and leave time
-    // for each router to learn of the others' appends.
+    // Reports of all routers together take at most about half of a slow log's time.
     constexpr int log_time_factor = 2;
-    constexpr duration learning_time{30};
     auto const writers = static_cast<std::int64_t>(ledger_.active_vm_count());
-    auto const turn = std::max(append_time_ * log_time_factor, learning_time);
-    return std::max(settings_.report_interval, turn * writers);
-}
-
-void prepaid_holder::update_demand(account_state& state)
-{
-    auto const now = hooks_.clock();
-    auto const elapsed = now - state.updated;
-    if (elapsed <= duration(0))
-        return;
-    auto const ms = static_cast<double>(elapsed.count());
-    double const rate = state.window_tokens * milliseconds_per_second / ms;
-    auto const follow = [&](double& estimate, duration window)
-    {
-        double const keep = std::exp(-ms / static_cast<double>(window.count()));
-        estimate = estimate * keep + rate * (1 - keep);
-    };
-    follow(state.recent_demand_per_s, settings_.demand_window);
-    follow(state.long_demand_per_s, settings_.long_demand_window);
-    state.window_tokens = 0;
-    state.updated = now;
+    return std::max(settings_.report_interval, writer_.append_time() * log_time_factor * writers);
 }
 
 std::int64_t
-prepaid_holder::target_free(std::string const& account, account_state const& state) const
+prepaid_holder::target_free(std::string const& account, token_account const& state) const
 {
-    double const demand = state.demand_per_s();
+    double const demand = state.demand.per_s();
     if (is_stopping_ || demand <= 0)
         return 0;
     double const horizon_s =
         static_cast<double>(settings_.horizon.count()) / milliseconds_per_second;
-    draw_owner const self{account, settings_.vm};
-    auto const others = ledger_.demand(account) - ledger_.demand_of(self);
+    auto const others = ledger_.demand(account) - ledger_.demand_of({account, settings_.vm});
     // Counts what this process holds as left, so that the target does not depend on its own draws.
-    double const left = static_cast<double>(remaining(account) + state.free_tokens());
+    double const left = static_cast<double>(remaining(account, state) + state.free_tokens());
     double const all_demand = demand + static_cast<double>(std::max<std::int64_t>(0, others));
     double const covered_s = left / all_demand;
     double const part =
@@ -238,10 +191,10 @@
 }
 
 std::int64_t
-prepaid_holder::wanted_delta(std::string const& account, account_state const& state) const
+prepaid_holder::wanted_delta(std::string const& account, token_account const& state) const
 {
     std::int64_t needed = 0;
-    auto const left = remaining(account);
+    auto const left = remaining(account, state);
     auto const free = state.free_tokens();
     for (auto const& it : state.waiting)
     {
@@ -257,15 +210,33 @@
     bool const is_due = is_stopping_ || is_return_due_;
     // A returned token is of use to other routers only where little is left.
     bool const is_scarce = is_stopping_ || left < 2 * (free - needed);
-    return excess > 0 && is_due && is_scarce ? -(free - needed - target) : 0;
+    if (excess <= 0 || !is_due || !is_scarce)
+        return 0;
+    return -std::min(free - needed - target, state.held_tokens());
 }
 
-bool prepaid_holder::is_report_due(account_state const& state) const
+bool prepaid_holder::is_report_due(token_account const& state) const
 {
     // A waiting request that is covered waits only for the limit of the last report.
     bool const is_wanted =
         !state.waiting.empty() && state.waiting.front().tokens <= state.free_tokens();
-    return is_wanted || (is_report_time_ && state.spent_tokens != state.reported.spent_tokens);
+    return is_wanted ||
+           (is_report_time_ && state.spent_tokens() != state.reported().spent_tokens);
+}
+
+std::optional<reservation> prepaid_holder::judge(
+    std::string const& account,
+    token_account const& state,
+    waiting_request const& request) const
+{
+    if (spendable(state) >= request.tokens)
+        return reservation::granted;
+    bool const is_undecided = writer_.is_writing() || claim_;
+    if (!is_undecided && request.tokens - state.free_tokens() > remaining(account, state))
+        return reservation::exhausted;
+    if (hooks_.clock() >= request.expires || is_log_silent())
+        return reservation::unavailable;
+    return std::nullopt;
 }
 
 void prepaid_holder::serve_waiting()
@@ -273,25 +244,18 @@
     // Callbacks may reserve again.
     if (std::exchange(is_serving_, true))
         return;
-    auto const now = hooks_.clock();
     std::vector<std::pair<reservation_callback, reservation>> results;
     for (auto& [account, state] : accounts_)
     {
         while (!state.waiting.empty())
         {
             auto& next = state.waiting.front();
-            bool const is_covered = spendable(state) >= next.tokens;
-            bool const is_expired = now >= next.expires || is_log_silent();
-            bool const is_beyond =
-                !pending_ && next.tokens - state.free_tokens() > remaining(account);
-            if (!is_covered && !is_expired && !is_beyond)
+            auto const result = judge(account, state, next);
+            if (!result)
                 break;
-            auto const result = is_covered  ? reservation::granted
-                                : is_beyond ? reservation::exhausted
-                                            : reservation::unavailable;
-            if (is_covered)
-                state.spent_tokens += next.tokens;
-            results.emplace_back(std::move(next.done), result);
+            if (*result == reservation::granted)
+                state.spend(next.tokens);
+            results.emplace_back(std::move(next.done), *result);
             state.waiting.pop_front();
         }
     }
@@ -304,30 +268,29 @@
 {
     auto const now = hooks_.clock();
     for (auto& [account, state] : accounts_)
-        update_demand(state);
+        state.demand.update(now);
     is_report_time_ = now >= next_report_;
     is_return_due_ = now >= next_return_;
     if (is_return_due_)
         next_return_ = now + settings_.return_interval;
     serve_waiting();
-    check_answer();
-    if (pending_ && !pending_->is_in_flight && now >= next_attempt_)
-        send();
-    else if (!pending_ && is_synced_ && now >= next_attempt_)
-        start_append();
+    writer_.tick();
+    if (is_synced_ && !claim_ && now >= next_write_ && writer_.is_idle())
+        write();
     is_return_due_ = false;
     is_report_time_ = false;
 }
 
-draw_record
-prepaid_holder::create_record(std::string const& account, account_state& state, std::int64_t delta)
+draw_record prepaid_holder::create_record(
+    std::string const& account,
+    token_account const& state,
+    std::int64_t delta)
 {
     draw_record record;
     record.owner = {account, settings_.vm};
-    record.drawn_tokens = state.drawn_tokens + delta;
-    record.writer = settings_.writer;
-    record.sequence = next_sequence_;
-    record.demand_per_s = static_cast<std::int64_t>(state.demand_per_s());
+    record.claimed_tokens = state.held_tokens() + delta;
+    record.held_tokens = std::min(state.held_tokens(), record.claimed_tokens);
+    record.demand_per_s = static_cast<std::int64_t>(state.demand.per_s());
     record.written = {hooks_.clock().since_epoch.count(), hooks_.wall_time_ms()};
     // Waiting requests start as soon as the report is on the log, so they count as spent in it.
     std::int64_t waiting = 0;
@@ -336,118 +299,101 @@
         if (waiting + it.tokens <= state.free_tokens() + std::max<std::int64_t>(0, delta))
             waiting += it.tokens;
     }
-    record.spending.spent_tokens = state.spent_tokens + waiting;
-    auto const slack = static_cast<std::int64_t>(state.demand_per_s() * slack_demand_s);
-    record.spending.slack_tokens = std::max(slack, state.largest_request / 2);
-    record.spending.rate_per_s = static_cast<std::int64_t>(state.demand_per_s() * rate_factor);
+    record.spending.spent_tokens = state.spent_tokens() + waiting;
+    auto const slack = static_cast<std::int64_t>(state.demand.per_s() * slack_demand_s);
+    record.spending.slack_tokens = std::max(slack, state.largest_request);
+    record.spending.rate_per_s = static_cast<std::int64_t>(state.demand.per_s() * rate_factor);
     return record;
 }
 
-void prepaid_holder::start_append()
+void prepaid_holder::write()
 {
-    pending_append append;
+    std::vector<draw_record> records;
     for (auto& [account, state] : accounts_)
     {
         auto const delta = wanted_delta(account, state);
-        if (delta == 0 && !is_report_due(state))
+        if (delta == 0 && !is_report_due(state) && !state.is_withdrawal_due())
             continue;
-        // Tokens that are given back must not be spent from here on.
-        state.returning_tokens = delta < 0 ? -delta : 0;
-        append.records.push_back(create_record(account, state, delta));
-        state.reporting = append.records.back().spending;
-        state.reporting_since = hooks_.clock();
+        records.push_back(create_record(account, state, delta));
+        state.begin_write(
+            records.back().spending, std::max<std::int64_t>(0, -delta), hooks_.clock());
     }
-    if (append.records.empty())
+    if (records.empty())
         return;
-    append.at = ledger_.end();
-    append.sequence = next_sequence_++;
-    append.first_sent = hooks_.clock();
     next_report_ = hooks_.clock() + report_interval();
-    pending_ = std::move(append);
-    send();
+    writer_.write(std::move(records));
 }
 
-void prepaid_holder::send()
+void prepaid_holder::finish_write(
+    write_end end,
+    std::vector<draw_record> const& records,
+    std::int64_t offset)
 {
-    pending_->is_in_flight = true;
-    pending_->last_sent = hooks_.clock();
-    ++pending_->sent_count;
-    hooks_.append(
-        pending_->at,
-        pending_->records,
-        [this, sequence = pending_->sequence](append_outcome outcome)
-        { finish_append(sequence, outcome); });
+    for (auto const& record : records)
+    {
+        auto& state = accounts_[record.owner.account];
+        if (end == write_end::appended)
+            state.finish_write(record.claimed_tokens, {duration(record.written.boot_ms)});
+        else if (end == write_end::not_appended)
+            state.cancel_write();
+        else
+            state.doubt_write(record.claimed_tokens);
+    }
+    if (end == write_end::appended)
+        begin_claim(records, offset);
+    serve_waiting();
 }
 
-void prepaid_holder::finish_append(std::uint64_t sequence, append_outcome outcome)
+void prepaid_holder::begin_claim(std::vector<draw_record> const& records, std::int64_t offset)
 {
-    if (!pending_ || pending_->sequence != sequence)
-        return;
-    pending_->is_in_flight = false;
-    bool const was_unknown = pending_->is_unknown;
-    if (outcome == append_outcome::appended)
+    claim_ = {records, offset + static_cast<std::int64_t>(records.size())};
+    claim_since_ = hooks_.clock();
+    if (ledger_.end() == offset && ledger_.is_consistent())
     {
-        auto const time = hooks_.clock() - pending_->first_sent;
-        append_time_ = (append_time_ + time) / 2;
-        auto offset = pending_->at;
-        for (auto const& record : pending_->records)
+        for (auto const& record : records)
             ledger_.apply(offset++, record);
-        conclude(true);
-        return;
     }
-    if (outcome == append_outcome::unknown)
-    {
-        pending_->is_unknown = true;
-        next_attempt_ = hooks_.clock() + settings_.unknown_interval;
-        return;
-    }
-    next_attempt_ = hooks_.clock() + settings_.retry_interval;
-    if (outcome == append_outcome::conflict)
-        conflict_at_ = pending_->at;
-    // The append may be what moved the end of the log, if an earlier try had no answer. The records
-    // that follow decide.
-    if (!was_unknown)
-        conclude(false);
-    else
-        resolve();
+    bool const is_open = std::ranges::any_of(
+        records,
+        [this](auto const& it) { return accounts_[it.owner.account].is_withdrawal_due(); });
+    if (!is_open)
+        claim_.reset();
+    decide_claim();
+    if (claim_)
+        hooks_.on_behind();
 }
 
-void prepaid_holder::resolve()
+bool prepaid_holder::fits(draw_record const& record) const
 {
-    if (!pending_ || ledger_.end() <= pending_->at)
-        return;
-    bool const is_applied = ledger_.last_sequence(settings_.writer) >= pending_->sequence;
-    if (is_applied || !pending_->is_in_flight)
-        conclude(is_applied);
+    auto const total = hooks_.total(record.owner.account);
+    return total && ledger_.is_consistent() && ledger_.claimed(record.owner.account) <= *total;
 }
 
-void prepaid_holder::conclude(bool is_applied)
+void prepaid_holder::decide_claim()
 {
-    auto const append = *std::exchange(pending_, std::nullopt);
-    for (auto const& record : append.records)
+    if (!claim_ || ledger_.end() < claim_->end || !ledger_.is_consistent())
+        return;
+    auto const records = std::exchange(claim_, std::nullopt)->records;
+    for (auto const& record : records)
     {
         auto& state = accounts_[record.owner.account];
-        auto const returned = std::exchange(state.returning_tokens, 0);
-        state.reporting.reset();
-        if (is_applied)
-            acknowledge(record);
-        // After an append without an answer, tokens that were to be given back stay unused: a later
-        // record of the same owner may hide that it took effect.
-        else if (append.is_unknown)
-            state.spent_tokens += returned;
+        if (!state.is_withdrawal_due())
+            continue;
+        bool const is_accepted = fits(record);
+        if (is_accepted)
+            state.accept_claim();
+        else
+        {
+            // Routers that claim the same rest again at once would all be turned down again.
+            auto const writers = static_cast<std::int64_t>(ledger_.active_vm_count());
+            next_write_ = hooks_.clock() + random_.between(duration(0), duration(writers));
+        }
+        if (hooks_.on_claim)
+            hooks_.on_claim(record, is_accepted);
     }
     serve_waiting();
 }
 
-void prepaid_holder::acknowledge(draw_record const& record)
-{
-    auto& state = accounts_[record.owner.account];
-    state.drawn_tokens = record.drawn_tokens;
-    state.reported = record.spending;
-    // A successor counts from the same time.
-    state.reported_at = {duration(record.written.boot_ms)};
-}
-
 void prepaid_holder::begin_shutdown()
 {
     is_stopping_ = true;
@@ -455,12 +401,13 @@
 
 bool prepaid_holder::is_busy() const
 {
-    if (pending_)
+    if (writer_.is_writing() || claim_)
         return true;
     return std::any_of(
         accounts_.begin(),
         accounts_.end(),
-        [](auto const& it) { return it.second.free_tokens() > 0; });
+        [](auto const& it)
+        { return std::min(it.second.free_tokens(), it.second.held_tokens()) > 0; });
 }
 
 } // namespace almondcart::forwarding
--- /dev/null
+++ b/libraries/forwarding/src/token_demand.cpp
@@ -0,0 +1,35 @@
+#include <almondcart/forwarding/token_demand.hpp>
+
+#include <cmath>
+
+namespace almondcart::forwarding {
+
+namespace {
+
+/// Time constants of the two estimates.
+constexpr duration recent_window{2'000};
+constexpr duration long_window{10'000};
+
+constexpr double milliseconds_per_second = 1000;
+
+} // namespace
+
+void token_demand::update(instant now)
+{
+    auto const elapsed = now - updated_;
+    if (elapsed <= duration(0))
+        return;
+    auto const ms = static_cast<double>(elapsed.count());
+    double const rate = window_tokens_ * milliseconds_per_second / ms;
+    auto const follow = [&](double& estimate, duration window)
+    {
+        double const keep = std::exp(-ms / static_cast<double>(window.count()));
+        estimate = estimate * keep + rate * (1 - keep);
+    };
+    follow(recent_per_s_, recent_window);
+    follow(long_per_s_, long_window);
+    window_tokens_ = 0;
+    updated_ = now;
+}
+
+} // namespace almondcart::forwarding
--- a/services/gateway/forward_session.cpp
+++ b/services/gateway/forward_session.cpp
@@ -109,7 +109,7 @@
     int total = 0;
     for (auto const& it : route_->shares)
         total += it.weight;
-    auto draw = total > 0 ? static_cast<int>(context_.next_random() % total) : 0;
+    auto draw = total > 0 ? static_cast<int>(context_.random.next() % total) : 0;
     for (auto const& it : route_->shares)
     {
         service_ = configuration_->find_service(it.service);
@@ -182,11 +182,11 @@
 {
     auto const& ledger = context_.prepaid.of(account_->name).ledger();
     return fmt::format(
-        "needs={} holds={} total={} drawn={} log_offset={}",
+        "needs={} holds={} total={} claimed={} log_offset={}",
         needed,
         context_.prepaid.of(account_->name).free_tokens(account_->name),
         *account_->prepaid_tokens,
-        ledger.drawn(account_->name),
+        ledger.claimed(account_->name),
         ledger.end());
 }
 
--- a/services/gateway/forward_session_end.cpp
+++ b/services/gateway/forward_session_end.cpp
@@ -48,7 +48,7 @@
 
 duration forward_session::retry_after() const
 {
-    return context_.spread(
+    return context_.random.between(
         retry_soon, std::clamp(time_left() / 3, retry_later, retry_after_longest));
 }
 
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -31,7 +31,6 @@
 {
     forwarding::prepaid_holder_settings result;
     result.vm = settings.name;
-    result.writer = settings.name + "@" + std::to_string(system_clock_source::wall_time_ms());
     return result;
 }
 
@@ -105,8 +104,8 @@
           false,
           false,
           {},
-          hash64(settings_.name, static_cast<std::uint64_t>(system_clock_source::wall_time_ms())) |
-              1U}
+          random_sequence(hash64(
+              settings_.name, static_cast<std::uint64_t>(system_clock_source::wall_time_ms())))}
 {}
 
 gateway::~gateway() = default;
@@ -161,7 +160,7 @@
     loop_.on_stop_signal([this] { begin_stop(); });
     follow_configuration();
     follow_upstreams();
-    prepaid_.start();
+    prepaid_.tick();
     loop_.every(housekeeping_interval, [this] { housekeep(); });
     loop_.every(settings_check_interval, [this] { check_settings(); });
 }
@@ -217,11 +216,11 @@
         std::make_shared<forwarding::configuration_view const>(*std::move(content));
     for (auto const& it : context_.configuration->content().accounts)
         spdlog::info(
-            "[config] version={} account={} prepaid={} drawn={}",
+            "[config] version={} account={} prepaid={} claimed={}",
             context_.configuration->version(),
             it.name,
             it.prepaid_tokens.value_or(-1),
-            prepaid_.of(it.name).ledger().drawn(it.name));
+            prepaid_.of(it.name).ledger().claimed(it.name));
     update_readiness();
 }
 
--- a/services/gateway/gateway_context.cpp
+++ b/services/gateway/gateway_context.cpp
@@ -35,19 +35,4 @@
     return is_stopping && now - stop_began >= drain_time && now + limit > stop_deadline();
 }
 
-std::uint64_t gateway_context::next_random()
-{
-    // xorshift64
-    random ^= random << 13U;
-    random ^= random >> 7U;
-    random ^= random << 17U;
-    return random;
-}
-
-duration gateway_context::spread(duration low, duration high)
-{
-    auto const range = static_cast<std::uint64_t>((high - low).count()) + 1;
-    return low + duration(static_cast<std::int64_t>(next_random() % range));
-}
-
 } // namespace almondcart
--- a/services/gateway/gateway_context.hpp
+++ b/services/gateway/gateway_context.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <almondcart/core/random_sequence.hpp>
 #include <almondcart/forwarding/configuration.hpp>
 #include <almondcart/forwarding/exchange_codec.hpp>
 #include <almondcart/forwarding/upstream_directory.hpp>
@@ -44,7 +45,7 @@
     bool is_ready = false;
     bool is_stopping = false;
     instant stop_began{};
-    std::uint64_t random = 1;
+    random_sequence random;
 
     retry_budget& retries_of(std::string const& service);
 
@@ -54,12 +55,6 @@
     /// Whether a request that may last for `limit` is to be sent to another router, because this
     /// one may have exited by then.
     bool is_too_late_for(duration limit) const;
-
-    /// Next pseudo-random number.
-    std::uint64_t next_random();
-
-    /// Value between `low` and `high`, so that callers do not return together.
-    duration spread(duration low, duration high);
 };
 
 } // namespace almondcart
--- a/services/gateway/prepaid_accounts.cpp
+++ b/services/gateway/prepaid_accounts.cpp
@@ -25,12 +25,6 @@
             loop, store, topic_prefix + std::to_string(i), settings, total));
 }
 
-void prepaid_accounts::start()
-{
-    for (auto const& it : logs_)
-        it->start();
-}
-
 void prepaid_accounts::tick()
 {
     for (auto const& it : logs_)
--- a/services/gateway/prepaid_accounts.hpp
+++ b/services/gateway/prepaid_accounts.hpp
@@ -23,7 +23,6 @@
         std::size_t topic_count,
         forwarding::prepaid_holder::total_function const& total);
 
-    void start();
     void tick();
     void begin_shutdown();
 
--- a/services/gateway/prepaid_log.cpp
+++ b/services/gateway/prepaid_log.cpp
@@ -12,18 +12,22 @@
 namespace {
 
 using forwarding::append_outcome;
+using forwarding::append_result;
 using forwarding::draw_record;
 
-/// Pause between reads, so that draws of several routers arrive together.
-constexpr duration read_pause{30};
+/// Pause between reads that nothing waits for, so that records of several routers arrive together.
+constexpr duration read_pause{1000};
 
 append_outcome outcome_of(platform::store_error error)
 {
     switch (error)
     {
-    case platform::store_error::position:
-        return append_outcome::conflict;
+    case platform::store_error::fenced:
+        return append_outcome::fenced;
+    case platform::store_error::out_of_sequence:
+        return append_outcome::out_of_sequence;
     case platform::store_error::rejected:
+    case platform::store_error::deleted:
         return append_outcome::rejected;
     case platform::store_error::unanswered:
     case platform::store_error::unreadable:
@@ -42,16 +46,18 @@
     forwarding::prepaid_holder::total_function total)
     : store_(store)
     , topic_(std::move(topic))
+    , producer_(settings.vm)
     , holder_(
           std::move(settings),
           {.clock = [&loop] { return loop.now(); },
            .wall_time_ms = system_clock_source::wall_time_ms,
            .append = [this](
-                         std::int64_t at,
-                         std::vector<draw_record> const& records,
-                         std::function<void(append_outcome)> done)
-           { append(at, records, std::move(done)); },
+                         forwarding::draw_append const& it,
+                         std::function<void(append_result)> done)
+           { append(it, std::move(done)); },
            .total = std::move(total),
+           .on_open = [this] { follower_.start(); },
+           .on_behind = [this] { follower_.hurry(); },
            .on_takeover =
                [](std::string const& account, std::int64_t taken, std::int64_t written_off)
            {
@@ -60,6 +66,17 @@
                    account,
                    taken,
                    written_off);
+           },
+           .on_claim =
+               [](draw_record const& it, bool is_accepted)
+           {
+               spdlog::info(
+                   "[prepaid] account={} claimed={} held={} demand_per_s={} {}",
+                   it.owner.account,
+                   it.claimed_tokens,
+                   it.held_tokens,
+                   it.demand_per_s,
+                   is_accepted ? "accepted" : "turned down");
            }})
     , follower_(loop, store, {.topic = topic_, .pause = read_pause}, create_hooks())
 {}
@@ -104,31 +121,29 @@
 }
 
 void prepaid_log::append(
-    std::int64_t at,
-    std::vector<draw_record> const& records,
-    std::function<void(append_outcome)> done)
+    forwarding::draw_append const& append,
+    std::function<void(append_result)> done)
 {
     std::vector<platform::keyed_record> encoded;
-    encoded.reserve(records.size());
-    for (auto const& it : records)
+    encoded.reserve(append.records.size());
+    for (auto const& it : append.records)
         encoded.push_back({0, it.key(), it.value()});
     store_.append(
         topic_,
-        at,
+        {producer_, append.epoch, append.sequence},
         encoded,
-        [this, done = std::move(done), at, n = records.size()](
+        [done = std::move(done), sequence = append.sequence, n = encoded.size()](
             platform::store_result<std::int64_t> const& result)
         {
-            auto const outcome =
-                result.has_value() ? append_outcome::appended : outcome_of(result.error);
-            spdlog::info(
-                "[prepaid] append at={} records={} outcome={}",
-                at,
-                n,
-                result.has_value() ? "appended" : platform::name_of(result.error));
-            if (outcome == append_outcome::conflict)
-                follower_.hurry();
-            done(outcome);
+            if (!result.has_value())
+                spdlog::info(
+                    "[prepaid] append sequence={} records={} failed: {}",
+                    sequence,
+                    n,
+                    platform::name_of(result.error));
+            done(
+                result.has_value() ? append_result{append_outcome::appended, *result.value}
+                                   : append_result{outcome_of(result.error), 0});
         });
 }
 
--- a/services/gateway/prepaid_log.hpp
+++ b/services/gateway/prepaid_log.hpp
@@ -20,20 +20,19 @@
         forwarding::prepaid_holder_settings settings,
         forwarding::prepaid_holder::total_function total);
 
-    void start() { follower_.start(); }
     forwarding::prepaid_holder& holder() { return holder_; }
     bool is_synced() const { return follower_.is_synced(); }
 
 private:
     platform::keyed_topic::hooks create_hooks();
     void append(
-        std::int64_t at,
-        std::vector<forwarding::draw_record> const& records,
-        std::function<void(forwarding::append_outcome)> done);
+        forwarding::draw_append const& append,
+        std::function<void(forwarding::append_result)> done);
     void apply(platform::keyed_record const& record);
 
     platform::store_client& store_;
     std::string topic_;
+    std::string producer_; ///< name under which the store orders the appends
     forwarding::prepaid_holder holder_;
     platform::keyed_topic follower_;
 };
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -352,7 +352,7 @@
     it.run_until([&] { return it.ask("/stream/x", sized("r-3", 500, 40)).head.status == 200; });
     auto const record = it.store.newest("keyed.prepaid-draws-0", "club/entry-1");
     cr_assert(record.has_value());
-    cr_assert_leq((*parse_json(*record))["drawn_tokens"].asInt64(), 2'000);
+    cr_assert_leq((*parse_json(*record))["claimed_tokens"].asInt64(), 2'000);
 }
 
 // Guards against tokens that are lost, or spent twice, when the process is killed.
@@ -370,7 +370,7 @@
     cr_assert_eq(it.ask("/stream/x", sized("r-2", 900, 24)).head.status, 200);
     it.run_until([&] { return it.ask("/stream/x", sized("r-3", 900, 24)).head.status != 200; });
     auto const record = it.store.newest("keyed.prepaid-draws-0", "club/entry-1");
-    cr_assert_leq((*parse_json(*record))["drawn_tokens"].asInt64(), 3'000);
+    cr_assert_leq((*parse_json(*record))["claimed_tokens"].asInt64(), 3'000);
 }
 
 // Guards against a removed key that still works, and a configuration that goes back.
@@ -425,7 +425,7 @@
         [&]
         {
             auto const record = it.store.newest("keyed.prepaid-draws-0", "club/entry-1");
-            return record && (*parse_json(*record))["drawn_tokens"].asInt64() == 124;
+            return record && (*parse_json(*record))["claimed_tokens"].asInt64() == 124;
         });
     // The process ends once the log has answered, and then the load balancer gets no answer.
     it.run_until([&] { return it.readiness_status() == 0; });
--- a/tests/platform.cpp
+++ b/tests/platform.cpp
@@ -180,31 +180,35 @@
     cr_assert_eq(answer.forwarded.size(), 1);
 }
 
-// Guards against two writers that both believe that their append took effect.
-Test(store_client, an_append_at_another_end_changes_nothing)
+// Guards against an append that takes effect twice, or after a later process of the same VM began.
+Test(store_client, an_append_takes_effect_once_and_only_in_its_epoch)
 {
     event_loop loop;
     standins::store_standin store(loop);
     http_client http(loop);
     store_client client(http, store.address());
     std::vector<store_result<std::int64_t>> results;
-    auto const append = [&](std::int64_t at)
+    auto const append = [&](std::uint64_t epoch, std::uint64_t sequence, int records)
     {
         client.append(
             "keyed.x",
-            at,
-            {{0, "k", "v"}},
-            [&](store_result<std::int64_t> it) { results.push_back(it); });
+            {"vm-1", epoch, sequence},
+            std::vector<keyed_record>(static_cast<std::size_t>(records), {0, "k", "v"}),
+            [&](store_result<std::int64_t> const& it) { results.push_back(it); });
         auto const n = results.size() + 1;
         loop.run_until([&, n] { return results.size() == n; });
+        return results.back();
     };
-    append(0);
-    append(0);
+    cr_assert(append(7, 0, 0).has_value(), "claims an epoch");
+    cr_assert_eq(*append(7, 1, 2).value, 0);
+    cr_assert_eq(*append(7, 2, 1).value, 2);
+    cr_assert_eq(*append(7, 1, 2).value, 0, "a repeat gets its first answer");
+    cr_assert(append(7, 9, 1).error == store_error::out_of_sequence);
+    cr_assert(append(8, 0, 0).has_value());
+    cr_assert(append(7, 3, 1).error == store_error::fenced);
+    cr_assert_eq(*append(8, 1, 1).value, 3);
     store.set_down(true);
-    append(1);
-    cr_assert_eq(*results[0].value, 0);
-    cr_assert(results[1].error == store_error::position);
-    cr_assert(results[2].error == store_error::rejected);
+    cr_assert(append(8, 2, 1).error == store_error::rejected);
 }
 
 // Guards against missed changes: while the store is down, and after it has dropped its history.
--- a/tests/prepaid.cpp
+++ b/tests/prepaid.cpp
@@ -99,6 +99,36 @@
     cr_assert_geq(fleet.spent(), fleet.total() * 95 / 100);
 }
 
+// Guards against a claim of a predecessor that did not fit and that its successor takes for held.
+Test(prepaid, a_claim_of_a_predecessor_that_does_not_fit_is_not_taken_over)
+{
+    manual_clock clock;
+    forwarding::prepaid_holder::hooks hooks;
+    hooks.clock = clock.function();
+    hooks.wall_time_ms = [&] { return clock.now().since_epoch.count(); };
+    hooks.append = [](auto const&, auto const& done)
+    { done({forwarding::append_outcome::appended, 2}); };
+    hooks.total = [](std::string const&) { return 10'000; };
+    hooks.on_open = [] {};
+    hooks.on_behind = [] {};
+    auto const record = [](std::string const& vm)
+    {
+        forwarding::draw_record it;
+        it.owner = {"club", vm};
+        it.claimed_tokens = 8'000;
+        it.held_tokens = 3'000;
+        return it;
+    };
+    forwarding::prepaid_holder_settings settings;
+    settings.vm = "vm-1";
+    forwarding::prepaid_holder holder(settings, hooks);
+    holder.tick();
+    holder.apply(0, record("vm-0"));
+    holder.apply(1, record("vm-1"));
+    holder.advance(2);
+    cr_assert_eq(holder.free_tokens("club"), 3'000);
+}
+
 // Guards against a predecessor whose spending during an outage is given out again.
 Test(prepaid, what_was_spent_while_the_log_was_lost_is_not_taken_over)
 {
@@ -169,6 +199,39 @@
     cr_assert_leq(refused * 9, served, "%d refused, %d served", refused, served);
 }
 
+// Pattern: all routers draw at the same moment, from a log that takes a while for each append.
+// Guards against appends that are in conflict with each other until requests give up.
+Test(prepaid, many_routers_that_draw_at_once_are_all_served)
+{
+    constexpr int routers = 24;
+    prepaid_fleet fleet(routers, 100'000'000);
+    fleet.set_latency(duration(4));
+    fleet.run(duration(2'000), 20'000, 2'000);
+    cr_assert_eq(fleet.count(reservation::unavailable), 0);
+    cr_assert_eq(fleet.count(reservation::exhausted), 0);
+    cr_assert_eq(fleet.count(reservation::granted), routers * 20);
+}
+
+// Pattern: all routers ask for the last tokens at the same moment. Guards against claims that turn
+// each other down until nobody gets the rest.
+Test(prepaid, the_last_tokens_are_given_to_some_of_those_that_ask)
+{
+    constexpr int routers = 8;
+    prepaid_fleet fleet(routers, 10'000);
+    for (int i = 0; i < routers; ++i)
+        fleet.request(i, 2'000);
+    fleet.set_latency(duration(4));
+    for (int n = 0; n < 20; ++n)
+    {
+        for (int i = 0; i < routers; ++i)
+            fleet.request(i, 2'000);
+        for (int k = 0; k < 50; ++k)
+            fleet.advance(duration(10));
+    }
+    cr_assert_leq(fleet.spent(), fleet.total());
+    cr_assert_geq(fleet.spent(), fleet.total() * 97 / 100);
+}
+
 // Guards against overspending under any sequence of cuts, lost and late appends, restarts and
 // top-ups.
 Test(prepaid, no_sequence_of_faults_overspends)
@@ -182,8 +245,11 @@
             for (int n = 0; n < steps; ++n)
             {
                 int const router = *rc::gen::inRange(0, 3);
-                switch (*rc::gen::inRange(0, 6))
+                switch (*rc::gen::inRange(0, 7))
                 {
+                case 6:
+                    fleet.set_fault(router, fault::refused);
+                    break;
                 case 0:
                     fleet.set_fault(router, fault::cut);
                     break;
@@ -217,11 +283,11 @@
 // was written after the position from which reading goes on.
 Test(prepaid_ledger, a_snapshot_with_newer_records_hides_none_of_those_between)
 {
-    auto const record = [](std::string const& vm, std::int64_t drawn)
+    auto const record = [](std::string const& vm, std::int64_t claimed)
     {
         forwarding::draw_record it;
         it.owner = {"club", vm};
-        it.drawn_tokens = drawn;
+        it.claimed_tokens = claimed;
         return it;
     };
     forwarding::prepaid_ledger ledger;
@@ -231,7 +297,7 @@
     cr_assert_eq(ledger.end(), 5);
     ledger.apply(5, record("vm-2", 200));
     ledger.apply(6, record("vm-3", 400));
-    cr_assert_eq(ledger.drawn("club"), 700);
+    cr_assert_eq(ledger.claimed("club"), 700);
     cr_assert_eq(ledger.end(), 7);
 }
 
@@ -239,14 +305,15 @@
 Test(prepaid, a_record_survives_its_text_form)
 {
     forwarding::draw_record const record{
-        {"club", "vm-1"}, 12'345, "vm-1@7", 9, 250, {300, 40, 5}, {1'000, 2'000}};
+        {"club", "vm-1"}, 12'345, 12'000, 250, {300, 40, 5}, {1'000, 2'000}};
     auto const parsed = forwarding::draw_record::parse(record.key(), record.value());
     cr_assert(parsed.ok());
     cr_assert_eq(parsed->owner, record.owner);
-    cr_assert_eq(parsed->drawn_tokens, record.drawn_tokens);
+    cr_assert_eq(parsed->claimed_tokens, record.claimed_tokens);
+    cr_assert_eq(parsed->held_tokens, record.held_tokens);
     cr_assert_eq(parsed->demand_per_s, record.demand_per_s);
     cr_assert_eq(parsed->spending.limit_after(duration(2'000)), 350);
     cr_assert_eq(parsed->written.wall_ms, 2'000);
-    cr_assert_not(forwarding::draw_record::parse("club/vm-1", "{\"drawn_tokens\":-1}").ok());
+    cr_assert_not(forwarding::draw_record::parse("club/vm-1", "{\"claimed_tokens\":-1}").ok());
     cr_assert_not(forwarding::draw_record::parse("club", record.value()).ok());
 }
--- a/tests/prepaid_fleet.hpp
+++ b/tests/prepaid_fleet.hpp
@@ -17,10 +17,11 @@
 
 namespace almondcart::testing {
 
-/// Keyed topic in memory that compares the end before it appends, with lost and late appends.
+/// Keyed topic in memory that takes the appends of each producer in order, with lost and late ones.
 class fake_draw_log
 {
 public:
+    using result = forwarding::append_result;
     using outcome = forwarding::append_outcome;
     using record = forwarding::draw_record;
 
@@ -28,38 +29,70 @@
     {
         none,
         cut,         ///< nothing arrives and nothing is answered
+        refused,     ///< nothing arrives, which the writer learns
         answer_lost, ///< records are appended, without an answer
         late,        ///< records wait until `deliver_late`, without an answer
     };
 
-    outcome append(std::int64_t at, std::vector<record> const& records, fault how)
+    result
+    append(std::string const& producer, forwarding::draw_append const& append, fault how)
     {
         if (how == fault::cut)
-            return outcome::unknown;
+            return {outcome::unknown, 0};
+        if (how == fault::refused)
+            return {outcome::rejected, 0};
         if (how == fault::late)
         {
-            late_.emplace_back(at, records);
-            return outcome::unknown;
+            late_.emplace_back(producer, append);
+            return {outcome::unknown, 0};
         }
-        if (at != end())
-            return outcome::conflict;
-        records_.insert(records_.end(), records.begin(), records.end());
-        return how == fault::answer_lost ? outcome::unknown : outcome::appended;
+        auto const taken = take(producers_[producer], append);
+        return how == fault::answer_lost ? result{outcome::unknown, 0} : taken;
     }
 
-    /// Appends what was held back, where the log still ends at the expected offset.
+    /// Takes what was held back, where its producer has gone no further.
     void deliver_late()
     {
-        for (auto const& [at, records] : std::exchange(late_, {}))
-            append(at, records, fault::none);
+        for (auto const& [producer, append] : std::exchange(late_, {}))
+            this->append(producer, append, fault::none);
     }
 
     std::int64_t end() const { return static_cast<std::int64_t>(records_.size()); }
     std::vector<record> const& records() const { return records_; }
 
 private:
+    struct producer_state
+    {
+        std::uint64_t epoch = 0;
+        std::uint64_t last_sequence = 0;
+        std::map<std::uint64_t, std::int64_t> offsets{}; ///< of recent appends
+    };
+
+    result take(producer_state& state, forwarding::draw_append const& append)
+    {
+        if (append.epoch < state.epoch)
+            return {outcome::fenced, 0};
+        if (append.epoch > state.epoch)
+            state = {append.epoch, 0, {}};
+        if (append.records.empty())
+            return {outcome::appended, end()};
+        if (auto const it = state.offsets.find(append.sequence); it != state.offsets.end())
+            return {outcome::appended, it->second};
+        if (!state.offsets.empty() && append.sequence != state.last_sequence + 1)
+            return {outcome::out_of_sequence, 0};
+        constexpr std::size_t remembered = 5;
+        state.last_sequence = append.sequence;
+        state.offsets[append.sequence] = end();
+        if (state.offsets.size() > remembered)
+            state.offsets.erase(state.offsets.begin());
+        auto const offset = end();
+        records_.insert(records_.end(), append.records.begin(), append.records.end());
+        return {outcome::appended, offset};
+    }
+
     std::vector<record> records_;
-    std::deque<std::pair<std::int64_t, std::vector<record>>> late_;
+    std::map<std::string, producer_state> producers_;
+    std::deque<std::pair<std::string, forwarding::draw_append>> late_;
 };
 
 /// Routers that draw from one account over a shared log.
@@ -80,21 +113,23 @@
     {
         auto& it = routers_[i];
         it = {};
+        it.start = ++starts_;
         forwarding::prepaid_holder_settings settings;
-        settings.vm = "vm-" + std::to_string(i);
-        settings.writer = settings.vm + "@" + std::to_string(++starts_);
+        settings.vm = vm_of(i);
         forwarding::prepaid_holder::hooks hooks;
         hooks.clock = clock_.function();
         hooks.wall_time_ms = [this] { return clock_.now().since_epoch.count(); };
-        hooks.append = [this,
-                        i](std::int64_t at,
-                           std::vector<forwarding::draw_record> const& records,
-                           std::function<void(forwarding::append_outcome)> done)
-        { append(i, at, records, std::move(done)); };
+        hooks.append = [this, i](
+                           forwarding::draw_append const& it,
+                           std::function<void(forwarding::append_result)> done)
+        { append(i, it, std::move(done)); };
         hooks.total = [this](std::string const&) { return total_; };
-        it.writer = settings.writer;
+        hooks.on_open = [this, i] { routers_[i].is_reading = true; };
+        hooks.on_behind = [] {};
         it.holder = std::make_unique<forwarding::prepaid_holder>(settings, hooks);
-        read(i);
+        it.holder->tick();
+        if (it.is_reading)
+            read(i);
     }
 
     void set_fault(int i, fake_draw_log::fault how) { routers_[i].fault = how; }
@@ -129,7 +164,7 @@
         complete_appends();
         for (auto& [i, router] : routers_)
         {
-            if (router.fault == fake_draw_log::fault::none)
+            if (router.fault == fake_draw_log::fault::none && router.is_reading)
                 read(i);
             router.holder->tick();
         }
@@ -181,7 +216,8 @@
     {
         std::unique_ptr<forwarding::prepaid_holder> holder;
         fake_draw_log::fault fault = fake_draw_log::fault::none;
-        std::string writer;
+        int start = 0;           ///< number of the process among all
+        bool is_reading = false; ///< once its epoch is in force
         std::int64_t next = 0;
         double owed = 0;
     };
@@ -189,28 +225,28 @@
     struct slow_append
     {
         int router;
-        std::string writer;
+        int start;
         instant due;
-        std::int64_t at;
-        std::vector<forwarding::draw_record> records;
-        std::function<void(forwarding::append_outcome)> done;
+        forwarding::draw_append append;
+        std::function<void(forwarding::append_result)> done;
     };
 
+    static std::string vm_of(int i) { return "vm-" + std::to_string(i); }
+
     void append(
         int i,
-        std::int64_t at,
-        std::vector<forwarding::draw_record> const& records,
-        std::function<void(forwarding::append_outcome)> done)
+        forwarding::draw_append const& append,
+        std::function<void(forwarding::append_result)> done)
     {
         if (lose_each_ > 0 && ++appends_ % lose_each_ == 0)
             return;
         if (latency_ == duration(0) && slow_.empty())
         {
-            done(log_.append(at, records, routers_[i].fault));
+            done(log_.append(vm_of(i), append, routers_[i].fault));
             return;
         }
         auto const free = slow_.empty() ? clock_.now() : std::max(clock_.now(), slow_.back().due);
-        slow_.push_back({i, records.front().writer, free + latency_, at, records, std::move(done)});
+        slow_.push_back({i, routers_[i].start, free + latency_, append, std::move(done)});
     }
 
     void complete_appends()
@@ -219,10 +255,11 @@
         {
             auto const it = std::move(slow_.front());
             slow_.pop_front();
-            auto const outcome = log_.append(it.at, it.records, routers_[it.router].fault);
+            auto const result =
+                log_.append(vm_of(it.router), it.append, routers_[it.router].fault);
             // The process that sent it may be gone.
-            if (routers_[it.router].writer == it.writer)
-                it.done(outcome);
+            if (routers_[it.router].start == it.start)
+                it.done(result);
         }
     }
 
--- a/utilities/standins/platform/store_standin.cpp
+++ b/utilities/standins/platform/store_standin.cpp
@@ -82,16 +82,53 @@
     wake_reads();
 }
 
+bool store_standin::admit(producer& writer, http_exchange& exchange)
+{
+    auto const epoch = query_integer(exchange, "epoch");
+    auto const sequence = query_integer(exchange, "sequence");
+    Json::Value answer(Json::objectValue);
+    if (epoch < writer.epoch)
+    {
+        answer["reason"] = "fenced";
+        respond_json(exchange, 409, answer);
+        return false;
+    }
+    if (epoch > writer.epoch)
+        writer = {.epoch = epoch};
+    if (exchange.body().empty())
+        return true;
+    if (auto const it = writer.offsets.find(sequence); it != writer.offsets.end())
+    {
+        answer["offset"] = Json::Int64(it->second);
+        respond_json(exchange, 200, answer);
+        return false;
+    }
+    if (writer.has_appended && sequence != writer.last_sequence + 1)
+    {
+        answer["reason"] = "seq";
+        respond_json(exchange, 409, answer);
+        return false;
+    }
+    writer.has_appended = true;
+    writer.last_sequence = sequence;
+    return true;
+}
+
 void store_standin::append(http_exchange& exchange)
 {
+    constexpr std::size_t remembered_appends = 5;
     auto& target = topics_[query_topic(exchange)];
     auto const end = static_cast<std::int64_t>(target.records.size());
     Json::Value answer(Json::objectValue);
-    if (exchange.query_value("at") && query_integer(exchange, "at") != end)
+    if (auto const name = exchange.query_value("producer"))
     {
-        answer["end"] = Json::Int64(end);
-        respond_json(exchange, 412, answer);
-        return;
+        auto& writer = target.producers[*name];
+        if (!admit(writer, exchange))
+            return;
+        if (!exchange.body().empty())
+            writer.offsets[writer.last_sequence] = end;
+        if (writer.offsets.size() > remembered_appends)
+            writer.offsets.erase(writer.offsets.begin());
     }
     std::string_view data = exchange.body();
     while (data.size() > length_bytes)
--- a/utilities/standins/platform/store_standin.hpp
+++ b/utilities/standins/platform/store_standin.hpp
@@ -11,8 +11,8 @@
 
 namespace almondcart::standins {
 
-/// Stand-in for the platform's store: topics with one partition, conditional appends, reads that
-/// wait, and the newest record of each key.
+/// Stand-in for the platform's store: topics with one partition, appends in the order of their
+/// producers, reads that wait, and the newest record of each key.
 class store_standin
 {
 public:
@@ -42,8 +42,18 @@
         std::string value;
     };
 
+    /// Appends of one producer.
+    struct producer
+    {
+        std::int64_t epoch = -1;
+        std::int64_t last_sequence = 0;
+        bool has_appended = false;                      ///< in this epoch
+        std::map<std::int64_t, std::int64_t> offsets{}; ///< of recent appends, by sequence
+    };
+
     struct topic
     {
+        std::map<std::string, producer> producers{};
         std::int64_t first = 0;      ///< offset of the oldest record that is kept
         std::vector<record> records; ///< all, by offset
     };
@@ -56,6 +66,7 @@
     };
 
     void append(http_exchange& exchange);
+    static bool admit(producer& writer, http_exchange& exchange);
     void read(std::shared_ptr<http_exchange> const& exchange);
     void list_newest(http_exchange& exchange) const;
     void answer_read(topic const& source, std::int64_t from, http_exchange& exchange) const;
