Prepaid: Let gateways share the tokens that they hold while the log is lost

Cause: in a cut from the store each gateway served only what it held itself.

Ruled out: drawing more ahead, which strands tokens when a VM dies and does not help where the demand moves; a record for each transfer, which the lost log cannot take.

Change: a gateway that cannot draw in time asks the gateways whose records on the log show free tokens (JSON-RPC transfer_tokens). The giver counts a gift as spent, the receiver as paid back, so both stay within what the log says about them and no record is needed; a gift whose answer is lost is spent by nobody. A request is refused as exhausted only if no other gateway can give. Draw records name the address for this; the settings have peer_listen.

Tests: routers_cut_from_the_log_share_what_they_hold and the_last_tokens_move_to_where_they_are_ asked_for fail without peers; no_sequence_of_faults_overspends now has gifts, some of them lost, and fails where a giver does not count them.

--- a/libraries/forwarding/include/almondcart/forwarding/draw_record.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/draw_record.hpp
@@ -37,6 +37,9 @@
     spending_report spending;
     clock_reading written;
 
+    /// "ip:port" where the owner's process gives tokens to other routers; empty: nowhere.
+    std::string peer_address;
+
     /// Key of the record in its topic.
     std::string key() const;
     std::string value() const;
--- a/libraries/forwarding/include/almondcart/forwarding/draw_writer.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/draw_writer.hpp
@@ -44,10 +44,10 @@
 
 struct draw_writer_settings
 {
-    duration answer_limit{60};    ///< after which an append is sent again; longer for a slow log
-    duration retry_first{50};     ///< after a refusal; it doubles
+    duration answer_limit{60}; ///< after which an append is sent again; longer for a slow log
+    duration retry_first{50};  ///< after a refusal; it doubles
     duration retry_longest{400};
-    duration unknown_retry{400};  ///< after a connection was lost
+    duration unknown_retry{400}; ///< after a connection was lost
 };
 
 /// Writes draw records of one VM to the log: one append at a time, sent again until its outcome is
--- a/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
@@ -5,6 +5,7 @@
 #include <almondcart/forwarding/draw_writer.hpp>
 #include <almondcart/forwarding/prepaid_ledger.hpp>
 #include <almondcart/forwarding/token_account.hpp>
+#include <almondcart/forwarding/token_exchange.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -19,12 +20,15 @@
 
 struct prepaid_holder_settings
 {
-    std::string vm;                     ///< at most one live process draws under this name
-    duration horizon{15'000};           ///< demand that is drawn ahead, to outlast an outage
-    duration report_interval{500};    ///< between two writes that no request waits for
-    duration silence_limit{300};        ///< after which a log that does not answer counts as lost
-    duration return_interval{500};      ///< between two looks for tokens to give back
-    duration clock_error{3000};         ///< by which a wall clock may be set back unnoticed
+    std::string vm;                ///< at most one live process draws under this name
+    std::string peer_address;      ///< where this process gives tokens to others
+    duration horizon{15'000};      ///< demand that is drawn ahead, to outlast an outage
+    duration report_interval{500}; ///< between two writes that no request waits for
+    duration silence_limit{300};   ///< after which a log that does not answer counts as lost
+    duration return_interval{500}; ///< between two looks for tokens to give back
+    duration clock_error{3000};    ///< by which a wall clock may be set back unnoticed
+    duration peer_delay{60};       ///< for which a request waits for the log alone
+    duration peer_horizon{2'000};  ///< demand that is asked of peers beyond what waits
     draw_writer_settings writer;
 };
 
@@ -60,6 +64,10 @@
         /// A claim is on the log behind the position that is known.
         std::function<void()> on_behind;
 
+        /// Asks other routers for tokens, which arrive by `receive`. Returns whether some are
+        /// asked; if not, none are to be had. May be empty.
+        std::function<bool(token_request const&)> ask_peers;
+
         /// Tokens of a predecessor that were taken over, and those that it may have spent.
         std::function<
             void(std::string const& account, std::int64_t taken_over, std::int64_t written_off)>
@@ -82,6 +90,16 @@
     /// Ends a reservation of which `used` tokens were consumed.
     void settle(std::string const& account, std::int64_t reserved, std::int64_t used);
 
+    /// Gives tokens to another router. They count as spent here, so that no record is needed: what
+    /// this process holds on the log covers them.
+    token_gift give(token_request const& request);
+
+    /// Takes tokens that another router gave. They pay for what this process has spent.
+    void receive(std::string const& account, std::int64_t tokens);
+
+    /// Serves requests that waited for an answer of other routers.
+    void finish_peers() { serve_waiting(); }
+
     /// Record of the log, in order. A snapshot is passed in the same way.
     void apply(std::int64_t offset, draw_record const& record);
     void skip(std::int64_t offset);
@@ -125,15 +143,11 @@
     void take_over();
     void take_over(draw_owner const& owner, draw_record const& record);
     void serve_waiting();
-    std::optional<reservation> judge(
-        std::string const& account,
-        token_account const& state,
-        waiting_request const& request) const;
+    std::optional<reservation>
+    judge(std::string const& account, token_account const& state, waiting_request const& request);
+    bool ask_peers(std::string const& account, token_account const& state) const;
     void write();
-    void finish_write(
-        write_end end,
-        std::vector<draw_record> const& records,
-        std::int64_t offset);
+    void finish_write(write_end end, std::vector<draw_record> const& records, std::int64_t offset);
     void begin_claim(std::vector<draw_record> const& records, std::int64_t offset);
     void decide_claim();
     bool fits(draw_record const& record) const;
--- a/libraries/forwarding/include/almondcart/forwarding/token_account.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/token_account.hpp
@@ -49,11 +49,7 @@
 
     /// Starts with what a predecessor held and may have spent. Nothing can be spent before a report
     /// of this process is on the log, because a further start would count from the predecessor's.
-    void take_over(
-        std::int64_t held,
-        std::int64_t spent,
-        std::int64_t claimed,
-        instant now);
+    void take_over(std::int64_t held, std::int64_t spent, std::int64_t claimed, instant now);
 
     /// A write with `report` begins, which gives back `returned` tokens.
     void begin_write(spending_report const& report, std::int64_t returned, instant now);
--- a/libraries/forwarding/src/draw_record.cpp
+++ b/libraries/forwarding/src/draw_record.cpp
@@ -29,6 +29,8 @@
     value["rate_per_s"] = Json::Int64(spending.rate_per_s);
     value["boot_ms"] = Json::Int64(written.boot_ms);
     value["wall_ms"] = Json::Int64(written.wall_ms);
+    if (!peer_address.empty())
+        value["peer_address"] = peer_address;
     return to_compact_json(value);
 }
 
@@ -52,6 +54,7 @@
     record.spending.rate_per_s = reader.integer("rate_per_s", 0, maximum);
     record.written.boot_ms = reader.integer("boot_ms", 0, maximum);
     record.written.wall_ms = reader.integer("wall_ms", 0, maximum);
+    record.peer_address = reader.string_or("peer_address", {});
     if (auto status = reader.finish(); !status.ok())
         return status;
     return record;
--- a/libraries/forwarding/src/prepaid_holder.cpp
+++ b/libraries/forwarding/src/prepaid_holder.cpp
@@ -126,8 +126,7 @@
     auto const elapsed = longest_elapsed(record.written, start, settings_.clock_error);
     auto const spent = std::min(record.claimed_tokens, record.spending.limit_after(elapsed));
     // The predecessor may not have learned that its claim fits, but may have spent it if it did.
-    auto const held =
-        fits(record) ? record.claimed_tokens : std::max(record.held_tokens, spent);
+    auto const held = fits(record) ? record.claimed_tokens : std::max(record.held_tokens, spent);
     auto& state = accounts_[owner.account];
     state.take_over(held, spent, record.claimed_tokens, hooks_.clock());
     if (hooks_.on_takeover)
@@ -146,8 +145,7 @@
     return writer_.is_fenced() ? 0 : state.spendable(hooks_.clock());
 }
 
-std::int64_t
-prepaid_holder::remaining(std::string const& account, token_account const& state) const
+std::int64_t prepaid_holder::remaining(std::string const& account, token_account const& state) const
 {
     auto const total = hooks_.total(account);
     if (!total)
@@ -158,10 +156,8 @@
 
 bool prepaid_holder::is_log_silent() const
 {
-    bool const is_claim_late =
-        claim_ && hooks_.clock() - claim_since_ >= settings_.silence_limit;
-    return is_claim_late || writer_.is_fenced() ||
-           writer_.silent_for() >= settings_.silence_limit;
+    bool const is_claim_late = claim_ && hooks_.clock() - claim_since_ >= settings_.silence_limit;
+    return is_claim_late || writer_.is_fenced() || writer_.silent_for() >= settings_.silence_limit;
 }
 
 duration prepaid_holder::report_interval() const
@@ -220,25 +216,69 @@
     // A waiting request that is covered waits only for the limit of the last report.
     bool const is_wanted =
         !state.waiting.empty() && state.waiting.front().tokens <= state.free_tokens();
-    return is_wanted ||
-           (is_report_time_ && state.spent_tokens() != state.reported().spent_tokens);
+    return is_wanted || (is_report_time_ && state.spent_tokens() != state.reported().spent_tokens);
 }
 
 std::optional<reservation> prepaid_holder::judge(
     std::string const& account,
     token_account const& state,
-    waiting_request const& request) const
+    waiting_request const& request)
 {
+    auto const now = hooks_.clock();
     if (spendable(state) >= request.tokens)
         return reservation::granted;
     bool const is_undecided = writer_.is_writing() || claim_;
-    if (!is_undecided && request.tokens - state.free_tokens() > remaining(account, state))
+    bool const is_beyond =
+        !is_undecided && request.tokens - state.free_tokens() > remaining(account, state);
+    bool const is_silent = is_log_silent();
+    bool const is_late = now - request.since >= settings_.peer_delay;
+    bool const is_expired = now >= request.expires;
+    if (!is_expired && (is_beyond || is_silent || is_late) && ask_peers(account, state))
+        return std::nullopt;
+    if (is_beyond)
         return reservation::exhausted;
-    if (hooks_.clock() >= request.expires || is_log_silent())
+    if (is_expired || is_silent)
         return reservation::unavailable;
     return std::nullopt;
 }
 
+bool prepaid_holder::ask_peers(std::string const& account, token_account const& state) const
+{
+    if (!hooks_.ask_peers)
+        return false;
+    std::int64_t waiting = 0;
+    for (auto const& it : state.waiting)
+        waiting += it.tokens;
+    auto const needed = waiting - std::max<std::int64_t>(0, spendable(state));
+    double const horizon_s =
+        static_cast<double>(settings_.peer_horizon.count()) / milliseconds_per_second;
+    auto const ahead = static_cast<std::int64_t>(state.demand.per_s() * horizon_s);
+    return hooks_.ask_peers({account, needed, needed + ahead});
+}
+
+token_gift prepaid_holder::give(token_request const& request)
+{
+    if (!hooks_.total(request.account))
+        return {};
+    auto& state = accounts_[request.account];
+    auto available = spendable(state);
+    for (auto const& it : state.waiting)
+        available -= it.tokens;
+    available = std::max<std::int64_t>(0, available);
+    // A request that waits at a peer is certain, those to come here are not; beyond it, the rest is
+    // shared.
+    auto const shared = std::min(request.wanted_tokens, available / 2);
+    auto const tokens = std::min(available, std::max(request.needed_tokens, shared));
+    state.spend(tokens);
+    return {tokens, state.free_tokens()};
+}
+
+void prepaid_holder::receive(std::string const& account, std::int64_t tokens)
+{
+    accounts_[account].unspend(tokens);
+    serve_waiting();
+}
+
 void prepaid_holder::serve_waiting()
 {
     // Callbacks may reserve again.
@@ -291,6 +331,7 @@
     record.claimed_tokens = state.held_tokens() + delta;
     record.held_tokens = std::min(state.held_tokens(), record.claimed_tokens);
     record.demand_per_s = static_cast<std::int64_t>(state.demand.per_s());
+    record.peer_address = settings_.peer_address;
     record.written = {hooks_.clock().since_epoch.count(), hooks_.wall_time_ms()};
     // Waiting requests start as soon as the report is on the log, so they count as spent in it.
     std::int64_t waiting = 0;
@@ -299,7 +340,8 @@
         if (waiting + it.tokens <= state.free_tokens() + std::max<std::int64_t>(0, delta))
             waiting += it.tokens;
     }
-    record.spending.spent_tokens = state.spent_tokens() + waiting;
+    // Gifts may have paid for more than was spent of what is held here.
+    record.spending.spent_tokens = std::max<std::int64_t>(0, state.spent_tokens() + waiting);
     auto const slack = static_cast<std::int64_t>(state.demand.per_s() * slack_demand_s);
     record.spending.slack_tokens = std::max(slack, state.largest_request);
     record.spending.rate_per_s = static_cast<std::int64_t>(state.demand.per_s() * rate_factor);
--- a/libraries/forwarding/src/token_account.cpp
+++ b/libraries/forwarding/src/token_account.cpp
@@ -26,10 +26,7 @@
     reported_at_ = now;
 }
 
-void token_account::begin_write(
-    spending_report const& report,
-    std::int64_t returned,
-    instant now)
+void token_account::begin_write(spending_report const& report, std::int64_t returned, instant now)
 {
     // Tokens that are given back must not be spent from here on.
     returning_ = returned;
--- /dev/null
+++ b/libraries/forwarding/src/token_exchange.cpp
@@ -0,0 +1,116 @@
+#include <almondcart/forwarding/token_exchange.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace almondcart::forwarding {
+
+token_exchange::token_exchange(token_exchange_settings settings, std::string own_vm, hooks hooks)
+    : settings_(settings)
+    , own_vm_(std::move(own_vm))
+    , hooks_(std::move(hooks))
+{}
+
+void token_exchange::observe(draw_record const& record)
+{
+    if (record.owner.vm == own_vm_ || record.peer_address.empty())
+        return;
+    peers_[record.owner.vm].address = record.peer_address;
+    auto const free = record.claimed_tokens - record.spending.spent_tokens;
+    auto& it = accounts_[record.owner.account].holdings[record.owner.vm];
+    it.tokens = static_cast<double>(free);
+    it.demand_per_s = static_cast<double>(record.demand_per_s);
+    it.seen = hooks_.clock();
+}
+
+double token_exchange::estimate(holding const& it) const
+{
+    auto const elapsed = hooks_.clock() - it.seen;
+    return it.tokens - it.demand_per_s * std::chrono::duration<double>(elapsed).count();
+}
+
+bool token_exchange::request(token_request const& request)
+{
+    auto& state = accounts_[request.account];
+    if (state.round)
+        return true;
+    state.round = request;
+    state.asked.clear();
+    ask_next(request.account);
+    return state.round.has_value();
+}
+
+std::string token_exchange::choose_peer(account_state const& state) const
+{
+    auto const now = hooks_.clock();
+    std::string best;
+    double most = 0;
+    for (auto const& [vm, holding] : state.holdings)
+    {
+        auto const it = peers_.find(vm);
+        bool const is_blocked = it == peers_.end() || now < it->second.blocked_until;
+        if (is_blocked || now < holding.short_until || state.asked.contains(vm))
+            continue;
+        auto const tokens = estimate(holding);
+        if (tokens <= most)
+            continue;
+        most = tokens;
+        best = vm;
+    }
+    return best;
+}
+
+void token_exchange::ask_next(std::string const& account)
+{
+    auto& state = accounts_[account];
+    auto const vm = choose_peer(state);
+    bool const is_last = static_cast<int>(state.asked.size()) >= settings_.peers_per_round;
+    if (vm.empty() || is_last)
+    {
+        end_round(account);
+        return;
+    }
+    state.asked.insert(vm);
+    hooks_.ask(
+        peers_[vm].address,
+        *state.round,
+        [this, account, vm](std::optional<token_gift> const& gift)
+        { finish_ask(account, vm, gift); });
+}
+
+void token_exchange::finish_ask(
+    std::string const& account,
+    std::string const& vm,
+    std::optional<token_gift> const& gift)
+{
+    auto& state = accounts_[account];
+    auto const now = hooks_.clock();
+    if (!gift)
+    {
+        peers_[vm].blocked_until = now + settings_.pause_after_silence;
+        ask_next(account);
+        return;
+    }
+    auto& holding = state.holdings[vm];
+    holding.tokens = static_cast<double>(gift->left_tokens);
+    holding.seen = now;
+    if (gift->tokens < state.round->needed_tokens)
+        holding.short_until = now + settings_.pause_after_shortage;
+    state.round->needed_tokens -= gift->tokens;
+    state.round->wanted_tokens -= gift->tokens;
+    if (gift->tokens > 0)
+        hooks_.receive(account, gift->tokens);
+    if (state.round->needed_tokens > 0)
+        ask_next(account);
+    else
+        end_round(account);
+}
+
+void token_exchange::end_round(std::string const& account)
+{
+    auto& state = accounts_[account];
+    state.round.reset();
+    hooks_.on_end(account);
+}
+
+} // namespace almondcart::forwarding
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -31,6 +31,7 @@
 {
     forwarding::prepaid_holder_settings result;
     result.vm = settings.name;
+    result.peer_address = settings.peer_listen;
     return result;
 }
 
@@ -74,6 +75,7 @@
           [this] { return loop_.now(); },
           {.availability_zone = settings_.availability_zone, .seed = hash64(settings_.name)},
           directory_)
+    , peers_(loop_, client_, settings_.name, metrics_, prepaid_)
     , prepaid_(
           loop_,
           store_,
@@ -89,7 +91,8 @@
                       return it.prepaid_tokens;
               }
               return std::nullopt;
-          })
+          },
+          peers_.exchange())
     , context_{
           loop_,
           settings_,
@@ -105,7 +108,8 @@
           false,
           {},
           random_sequence(hash64(
-              settings_.name, static_cast<std::uint64_t>(system_clock_source::wall_time_ms())))}
+              settings_.name,
+              static_cast<std::uint64_t>(system_clock_source::wall_time_ms())))}
 {}
 
 gateway::~gateway() = default;
@@ -139,7 +143,7 @@
         return status_server.status();
     status_server_ = *std::move(status_server);
     metrics_.registry().serve(*status_server_);
-    return absl::OkStatus();
+    return peers_.listen(settings_.peer_listen);
 }
 
 void gateway::run()
--- a/services/gateway/gateway.hpp
+++ b/services/gateway/gateway.hpp
@@ -11,6 +11,7 @@
 
 #include "gateway_context.hpp"
 #include "prepaid_accounts.hpp"
+#include "token_peers.hpp"
 
 namespace almondcart {
 
@@ -57,6 +58,7 @@
     forwarding::upstream_directory directory_;
     forwarding::upstream_picker picker_;
     gateway_metrics metrics_;
+    token_peers peers_;
     prepaid_accounts prepaid_;
     gateway_context context_;
     std::unique_ptr<platform::keyed_topic> configuration_topic_;
--- a/services/gateway/gateway_metrics.cpp
+++ b/services/gateway/gateway_metrics.cpp
@@ -60,6 +60,16 @@
         .Observe(seconds(time));
 }
 
+void gateway_metrics::count_transfer(std::string_view result, std::int64_t tokens)
+{
+    prometheus::Labels const labels{{"result", std::string(result)}};
+    metrics_.counter("almondcart_transfers_total", "Calls for tokens between gateways", labels)
+        .Increment();
+    metrics_
+        .counter("almondcart_transferred_tokens_total", "Tokens given to or by gateways", labels)
+        .Increment(static_cast<double>(tokens));
+}
+
 void gateway_metrics::set_gauges(
     std::size_t connections,
     std::size_t opened,
--- a/services/gateway/gateway_metrics.hpp
+++ b/services/gateway/gateway_metrics.hpp
@@ -16,6 +16,7 @@
     void count_attempt(std::string_view result);
     void observe_first_byte(std::string_view kind, duration time);
     void observe_total(std::string_view kind, duration time);
+    void count_transfer(std::string_view result, std::int64_t tokens);
     void set_gauges(std::size_t connections, std::size_t opened, std::int64_t store_calls);
     metrics& registry() { return metrics_; }
 
--- a/services/gateway/gateway_settings.cpp
+++ b/services/gateway/gateway_settings.cpp
@@ -27,6 +27,7 @@
     settings.listen = read_address(reader, "listen");
     settings.readiness_listen = read_address(reader, "readiness_listen");
     settings.status_listen = read_address(reader, "status_listen");
+    settings.peer_listen = read_address(reader, "peer_listen");
     settings.store_address = read_address(reader, "store_address");
     settings.log_level = read_log_level_or(reader, "log_level", settings.log_level);
     settings.shutdown_grace =
--- a/services/gateway/gateway_settings.hpp
+++ b/services/gateway/gateway_settings.hpp
@@ -17,6 +17,7 @@
     std::string listen;           ///< "ip:port" for callers
     std::string readiness_listen; ///< "ip:port" for the load balancer
     std::string status_listen;    ///< "ip:port" for metrics
+    std::string peer_listen;      ///< "ip:port" for other gateways
     std::string store_address;    ///< "ip:port" of the platform's store
     std::string log_level = "info";
     duration shutdown_grace{8000};  ///< after which the platform kills a process that was to stop
--- a/services/gateway/prepaid_accounts.cpp
+++ b/services/gateway/prepaid_accounts.cpp
@@ -18,11 +18,12 @@
     platform::store_client& store,
     forwarding::prepaid_holder_settings const& settings,
     std::size_t topic_count,
-    forwarding::prepaid_holder::total_function const& total)
+    forwarding::prepaid_holder::total_function const& total,
+    forwarding::token_exchange& peers)
 {
     for (std::size_t i = 0; i < topic_count; ++i)
         logs_.push_back(std::make_unique<prepaid_log>(
-            loop, store, topic_prefix + std::to_string(i), settings, total));
+            loop, store, topic_prefix + std::to_string(i), settings, total, peers));
 }
 
 void prepaid_accounts::tick()
--- a/services/gateway/prepaid_accounts.hpp
+++ b/services/gateway/prepaid_accounts.hpp
@@ -21,7 +21,8 @@
         platform::store_client& store,
         forwarding::prepaid_holder_settings const& settings,
         std::size_t topic_count,
-        forwarding::prepaid_holder::total_function const& total);
+        forwarding::prepaid_holder::total_function const& total,
+        forwarding::token_exchange& peers);
 
     void tick();
     void begin_shutdown();
--- a/services/gateway/prepaid_log.cpp
+++ b/services/gateway/prepaid_log.cpp
@@ -43,21 +43,23 @@
     platform::store_client& store,
     std::string topic,
     forwarding::prepaid_holder_settings settings,
-    forwarding::prepaid_holder::total_function total)
+    forwarding::prepaid_holder::total_function total,
+    forwarding::token_exchange& peers)
     : store_(store)
+    , peers_(peers)
     , topic_(std::move(topic))
     , producer_(settings.vm)
     , holder_(
           std::move(settings),
           {.clock = [&loop] { return loop.now(); },
            .wall_time_ms = system_clock_source::wall_time_ms,
-           .append = [this](
-                         forwarding::draw_append const& it,
-                         std::function<void(append_result)> done)
+           .append =
+               [this](forwarding::draw_append const& it, std::function<void(append_result)> done)
            { append(it, std::move(done)); },
            .total = std::move(total),
            .on_open = [this] { follower_.start(); },
            .on_behind = [this] { follower_.hurry(); },
+           .ask_peers = [this](forwarding::token_request const& it) { return peers_.request(it); },
            .on_takeover =
                [](std::string const& account, std::int64_t taken, std::int64_t written_off)
            {
@@ -114,6 +116,7 @@
     if (draw.ok())
     {
         holder_.apply(record.offset, *draw);
+        peers_.observe(*draw);
         return;
     }
     spdlog::error("[prepaid] offset={} unreadable: {}", record.offset, message_of(draw.status()));
--- a/services/gateway/prepaid_log.hpp
+++ b/services/gateway/prepaid_log.hpp
@@ -18,7 +18,8 @@
         platform::store_client& store,
         std::string topic,
         forwarding::prepaid_holder_settings settings,
-        forwarding::prepaid_holder::total_function total);
+        forwarding::prepaid_holder::total_function total,
+        forwarding::token_exchange& peers);
 
     forwarding::prepaid_holder& holder() { return holder_; }
     bool is_synced() const { return follower_.is_synced(); }
@@ -31,6 +32,7 @@
     void apply(platform::keyed_record const& record);
 
     platform::store_client& store_;
+    forwarding::token_exchange& peers_;
     std::string topic_;
     std::string producer_; ///< name under which the store orders the appends
     forwarding::prepaid_holder holder_;
--- /dev/null
+++ b/services/gateway/token_peers.cpp
@@ -0,0 +1,156 @@
+#include "token_peers.hpp"
+
+#include <almondcart/core/clock.hpp>
+#include <almondcart/core/json_reader.hpp>
+#include <almondcart/core/status.hpp>
+
+#include <spdlog/spdlog.h>
+
+#include <limits>
+#include <utility>
+
+#include "prepaid_accounts.hpp"
+
+namespace almondcart {
+
+namespace {
+
+using forwarding::token_gift;
+using forwarding::token_request;
+
+constexpr char const* transfer_method = "transfer_tokens";
+
+/// A gateway answers in a few milliseconds; requests of callers wait meanwhile.
+constexpr duration answer_limit{250};
+
+constexpr std::int64_t most_tokens = std::numeric_limits<std::int64_t>::max();
+
+Json::Value encode(token_request const& request)
+{
+    Json::Value value(Json::objectValue);
+    value["account"] = request.account;
+    value["needed_tokens"] = Json::Int64(request.needed_tokens);
+    value["wanted_tokens"] = Json::Int64(request.wanted_tokens);
+    return value;
+}
+
+absl::StatusOr<token_request> decode_request(Json::Value const& value)
+{
+    json_reader reader(value, transfer_method, result_code::malformed_request);
+    token_request request;
+    request.account = reader.string("account");
+    request.needed_tokens = reader.integer("needed_tokens", 0, most_tokens);
+    request.wanted_tokens = reader.integer("wanted_tokens", 0, most_tokens);
+    if (auto status = reader.finish(); !status.ok())
+        return status;
+    return request;
+}
+
+Json::Value encode(token_gift const& gift)
+{
+    Json::Value value(Json::objectValue);
+    value["tokens"] = Json::Int64(gift.tokens);
+    value["left_tokens"] = Json::Int64(gift.left_tokens);
+    return value;
+}
+
+absl::StatusOr<token_gift> decode_gift(Json::Value const& value)
+{
+    json_reader reader(value, transfer_method, result_code::malformed_request);
+    token_gift gift;
+    gift.tokens = reader.integer("tokens", 0, most_tokens);
+    gift.left_tokens = reader.integer("left_tokens", -most_tokens, most_tokens);
+    if (auto status = reader.finish(); !status.ok())
+        return status;
+    return gift;
+}
+
+} // namespace
+
+token_peers::token_peers(
+    event_loop& loop,
+    http_client& client,
+    std::string own_vm,
+    gateway_metrics& metrics,
+    prepaid_accounts& accounts)
+    : loop_(loop)
+    , metrics_(metrics)
+    , accounts_(accounts)
+    , journal_(
+          {own_vm, std::to_string(system_clock_source::wall_time_ms())},
+          system_clock_source::wall_time_ms)
+    , rpc_(loop, client, journal_)
+    , exchange_({}, std::move(own_vm), create_hooks())
+{}
+
+absl::Status token_peers::listen(std::string const& address)
+{
+    auto server = http_server::create(loop_, {address});
+    if (!server.ok())
+        return server.status();
+    server_ = *std::move(server);
+    methods_ = std::make_unique<json_rpc_server>(*server_, journal_);
+    methods_->bind_immediate(
+        transfer_method, [this](Json::Value const& params) { return give(params); });
+    return absl::OkStatus();
+}
+
+forwarding::token_exchange::hooks token_peers::create_hooks()
+{
+    forwarding::token_exchange::hooks hooks;
+    hooks.clock = [this] { return loop_.now(); };
+    hooks.ask = [this](
+                    std::string const& address,
+                    token_request const& request,
+                    std::function<void(std::optional<token_gift>)> done)
+    { ask(address, request, std::move(done)); };
+    hooks.receive = [this](std::string const& account, std::int64_t tokens)
+    { accounts_.of(account).receive(account, tokens); };
+    hooks.on_end = [this](std::string const& account) { accounts_.of(account).finish_peers(); };
+    return hooks;
+}
+
+void token_peers::ask(
+    std::string const& address,
+    token_request const& request,
+    std::function<void(std::optional<token_gift>)> done)
+{
+    rpc_.call(
+        address,
+        transfer_method,
+        encode(request),
+        answer_limit,
+        [this, address, request, done = std::move(done)](absl::StatusOr<Json::Value> const& answer)
+        {
+            auto const gift = answer.ok() ? decode_gift(*answer) : answer.status();
+            metrics_.count_transfer(
+                gift.ok() ? "received" : "unanswered", gift.ok() ? gift->tokens : 0);
+            spdlog::info(
+                "[prepaid] account={} asked={} needed={} received={} error={}",
+                request.account,
+                address,
+                request.needed_tokens,
+                gift.ok() ? gift->tokens : 0,
+                gift.ok() ? "-" : message_of(gift.status()));
+            done(gift.ok() ? std::optional(*gift) : std::nullopt);
+        });
+}
+
+absl::StatusOr<Json::Value> token_peers::give(Json::Value const& params)
+{
+    auto const request = decode_request(params);
+    if (!request.ok())
+        return request.status();
+    auto const gift = accounts_.of(request->account).give(*request);
+    metrics_.count_transfer("given", gift.tokens);
+    spdlog::info(
+        "[prepaid] account={} needed={} wanted={} gives={} left={}",
+        request->account,
+        request->needed_tokens,
+        request->wanted_tokens,
+        gift.tokens,
+        gift.left_tokens);
+    return encode(gift);
+}
+
+} // namespace almondcart
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -60,6 +60,7 @@
         settings["listen"] = listen;
         settings["readiness_listen"] = readiness;
         settings["status_listen"] = find_free_address();
+        settings["peer_listen"] = peers;
         settings["store_address"] = store.address();
         settings["shutdown_grace_s"] = 8;
         std::ofstream(settings_file) << to_compact_json(settings);
@@ -194,6 +195,7 @@
     upstream_standin second{loop, "i-2"};
     std::string listen = find_free_address();
     std::string readiness = find_free_address();
+    std::string peers = find_free_address();
     std::string settings_file = "/tmp/almondcart-gateway-" + std::to_string(getpid()) + ".json";
     std::string output_file = settings_file + ".log";
     /// Requests that succeed, which earn the retries that a test needs.
--- a/tests/prepaid.cpp
+++ b/tests/prepaid.cpp
@@ -106,8 +106,9 @@
     forwarding::prepaid_holder::hooks hooks;
     hooks.clock = clock.function();
     hooks.wall_time_ms = [&] { return clock.now().since_epoch.count(); };
-    hooks.append = [](auto const&, auto const& done)
-    { done({forwarding::append_outcome::appended, 2}); };
+    hooks.append = [](auto const&, auto const& done) {
+        done({forwarding::append_outcome::appended, 2});
+    };
     hooks.total = [](std::string const&) { return 10'000; };
     hooks.on_open = [] {};
     hooks.on_behind = [] {};
@@ -232,8 +233,46 @@
     cr_assert_geq(fleet.spent(), fleet.total() * 97 / 100);
 }
 
-// Guards against overspending under any sequence of cuts, lost and late appends, restarts and
-// top-ups.
+// Pattern: lost log, demand in other places than before. Guards against refusals while another
+// router holds what is missing.
+Test(prepaid, routers_cut_from_the_log_share_what_they_hold)
+{
+    prepaid_fleet fleet(4, 4'000'000);
+    fleet.connect_peers();
+    fleet.run(duration(6'000), 20'000, 2'000);
+    for (int i = 0; i < 4; ++i)
+        fleet.set_fault(i, fault::cut);
+    fleet.run_one(0, duration(8'000), 80'000, 2'000);
+    cr_assert_eq(fleet.count(reservation::unavailable), 0);
+    cr_assert_eq(fleet.count(reservation::exhausted), 0);
+}
+
+// Pattern: end of a budget. Guards against refusing for good what another router could pay for.
+Test(prepaid, the_last_tokens_move_to_where_they_are_asked_for)
+{
+    prepaid_fleet fleet(4, 400'000);
+    fleet.connect_peers();
+    fleet.run(duration(3'000), 10'000, 1'000);
+    fleet.run_one(0, duration(30'000), 20'000, 1'000);
+    cr_assert_leq(fleet.spent(), fleet.total());
+    cr_assert_geq(fleet.spent(), fleet.total() * 97 / 100, "spent %ld", fleet.spent());
+}
+
+// Guards against a request that waits although no router can give anything.
+Test(prepaid, a_request_that_no_peer_can_pay_for_is_refused_at_once)
+{
+    prepaid_fleet fleet(2, 1'000'000);
+    fleet.connect_peers();
+    fleet.set_fault(0, fault::cut);
+    fleet.request(0, 100);
+    fleet.advance(duration(300));
+    cr_assert_eq(fleet.count(reservation::unavailable), 1);
+    fleet.request(0, 100);
+    cr_assert_eq(fleet.count(reservation::unavailable), 2);
+}
+
+// Guards against overspending under any sequence of cuts, lost and late appends, restarts, top-ups
+// and gifts, of which some are lost.
 Test(prepaid, no_sequence_of_faults_overspends)
 {
     bool const is_held = rc::check(
@@ -241,6 +280,8 @@
         []
         {
             prepaid_fleet fleet(3, 60'000);
+            fleet.connect_peers();
+            fleet.lose_gifts(*rc::gen::inRange(0, 4));
             auto const steps = *rc::gen::inRange(5, 40);
             for (int n = 0; n < steps; ++n)
             {
@@ -279,8 +320,8 @@
     cr_assert(is_held);
 }
 
-// Guards against records that a snapshot of several pages hides: a later page may hold a record that
-// was written after the position from which reading goes on.
+// Guards against records that a snapshot of several pages hides: a later page may hold a record
+// that was written after the position from which reading goes on.
 Test(prepaid_ledger, a_snapshot_with_newer_records_hides_none_of_those_between)
 {
     auto const record = [](std::string const& vm, std::int64_t claimed)
@@ -305,7 +346,7 @@
 Test(prepaid, a_record_survives_its_text_form)
 {
     forwarding::draw_record const record{
-        {"club", "vm-1"}, 12'345, 12'000, 250, {300, 40, 5}, {1'000, 2'000}};
+        {"club", "vm-1"}, 12'345, 12'000, 250, {300, 40, 5}, {1'000, 2'000}, "10.0.0.1:9"};
     auto const parsed = forwarding::draw_record::parse(record.key(), record.value());
     cr_assert(parsed.ok());
     cr_assert_eq(parsed->owner, record.owner);
@@ -314,6 +355,7 @@
     cr_assert_eq(parsed->demand_per_s, record.demand_per_s);
     cr_assert_eq(parsed->spending.limit_after(duration(2'000)), 350);
     cr_assert_eq(parsed->written.wall_ms, 2'000);
+    cr_assert_eq(parsed->peer_address, record.peer_address);
     cr_assert_not(forwarding::draw_record::parse("club/vm-1", "{\"claimed_tokens\":-1}").ok());
     cr_assert_not(forwarding::draw_record::parse("club", record.value()).ok());
 }
--- a/tests/prepaid_fleet.hpp
+++ b/tests/prepaid_fleet.hpp
@@ -34,8 +34,7 @@
         late,        ///< records wait until `deliver_late`, without an answer
     };
 
-    result
-    append(std::string const& producer, forwarding::draw_append const& append, fault how)
+    result append(std::string const& producer, forwarding::draw_append const& append, fault how)
     {
         if (how == fault::cut)
             return {outcome::unknown, 0};
@@ -119,13 +118,16 @@
         forwarding::prepaid_holder::hooks hooks;
         hooks.clock = clock_.function();
         hooks.wall_time_ms = [this] { return clock_.now().since_epoch.count(); };
-        hooks.append = [this, i](
-                           forwarding::draw_append const& it,
+        hooks.append = [this,
+                        i](forwarding::draw_append const& it,
                            std::function<void(forwarding::append_result)> done)
         { append(i, it, std::move(done)); };
         hooks.total = [this](std::string const&) { return total_; };
         hooks.on_open = [this, i] { routers_[i].is_reading = true; };
         hooks.on_behind = [] {};
+        settings.peer_address = vm_of(i);
+        if (has_peers_)
+            connect(i, hooks);
         it.holder = std::make_unique<forwarding::prepaid_holder>(settings, hooks);
         it.holder->tick();
         if (it.is_reading)
@@ -134,6 +136,17 @@
 
     void set_fault(int i, fake_draw_log::fault how) { routers_[i].fault = how; }
 
+    /// Lets all routers, also those that start later, ask each other for tokens.
+    void connect_peers()
+    {
+        has_peers_ = true;
+        for (auto& [i, router] : routers_)
+            start(i);
+    }
+
+    /// Loses the answer of each `n`th gift; 0: none.
+    void lose_gifts(int n) { lose_gift_ = n; }
+
     /// Loses each `n`th append, without any answer.
     void lose_each(int n) { lose_each_ = n; }
 
@@ -162,6 +175,8 @@
     {
         clock_.advance(step);
         complete_appends();
+        for (auto const& it : std::exchange(gifts_, {}))
+            it();
         for (auto& [i, router] : routers_)
         {
             if (router.fault == fake_draw_log::fault::none && router.is_reading)
@@ -187,6 +202,21 @@
         }
     }
 
+    /// As `run`, with all requests at router `i`.
+    void run_one(int i, duration time, std::int64_t tokens_per_s, std::int64_t tokens)
+    {
+        constexpr duration step{10};
+        auto& router = routers_[i];
+        for (duration now{0}; now < time; now += step)
+        {
+            router.owed += static_cast<double>(tokens_per_s) * 0.01;
+            for (; router.owed >= static_cast<double>(tokens);
+                 router.owed -= static_cast<double>(tokens))
+                request(i, tokens);
+            advance(step);
+        }
+    }
+
     /// As `run`, with requests at random moments, one in `interval` on average.
     void run_random(duration time, duration interval, std::int64_t tokens, unsigned seed)
     {
@@ -214,6 +244,7 @@
 private:
     struct router
     {
+        std::unique_ptr<forwarding::token_exchange> exchange;
         std::unique_ptr<forwarding::prepaid_holder> holder;
         fake_draw_log::fault fault = fake_draw_log::fault::none;
         int start = 0;           ///< number of the process among all
@@ -231,6 +262,47 @@
         std::function<void(forwarding::append_result)> done;
     };
 
+    void connect(int i, forwarding::prepaid_holder::hooks& hooks)
+    {
+        forwarding::token_exchange::hooks it;
+        it.clock = clock_.function();
+        it.ask = [this,
+                  i](std::string const& address,
+                     forwarding::token_request const& request,
+                     std::function<void(std::optional<forwarding::token_gift>)> done)
+        { ask(i, address, request, std::move(done)); };
+        it.receive = [this, i](std::string const& account, std::int64_t tokens)
+        { routers_[i].holder->receive(account, tokens); };
+        it.on_end = [this, i](std::string const&) { routers_[i].holder->finish_peers(); };
+        routers_[i].exchange = std::make_unique<forwarding::token_exchange>(
+            forwarding::token_exchange_settings{}, vm_of(i), it);
+        hooks.ask_peers = [this, i](forwarding::token_request const& request)
+        { return routers_[i].exchange->request(request); };
+    }
+
+    /// The other router gives at once; the answer arrives with the next step of the clock.
+    void
+    ask(int i,
+        std::string const& address,
+        forwarding::token_request const& request,
+        std::function<void(std::optional<forwarding::token_gift>)> done)
+    {
+        std::optional<forwarding::token_gift> gift;
+        for (auto& [k, router] : routers_)
+        {
+            if (vm_of(k) == address)
+                gift = router.holder->give(request);
+        }
+        if (lose_gift_ > 0 && ++gift_count_ % lose_gift_ == 0)
+            gift.reset();
+        gifts_.push_back(
+            [this, i, gift, done = std::move(done), start = routers_[i].start]
+            {
+                if (routers_[i].start == start)
+                    done(gift);
+            });
+    }
+
     static std::string vm_of(int i) { return "vm-" + std::to_string(i); }
 
     void append(
@@ -255,8 +327,7 @@
         {
             auto const it = std::move(slow_.front());
             slow_.pop_front();
-            auto const result =
-                log_.append(vm_of(it.router), it.append, routers_[it.router].fault);
+            auto const result = log_.append(vm_of(it.router), it.append, routers_[it.router].fault);
             // The process that sent it may be gone.
             if (routers_[it.router].start == it.start)
                 it.done(result);
@@ -267,7 +338,12 @@
     {
         auto& it = routers_[i];
         for (; it.next < log_.end(); ++it.next)
-            it.holder->apply(it.next, log_.records()[static_cast<std::size_t>(it.next)]);
+        {
+            auto const& record = log_.records()[static_cast<std::size_t>(it.next)];
+            it.holder->apply(it.next, record);
+            if (it.exchange)
+                it.exchange->observe(record);
+        }
         it.holder->advance(it.next);
     }
 
@@ -278,6 +354,10 @@
     fake_draw_log log_;
     duration latency_{0};
     int lose_each_ = 0;
+    bool has_peers_ = false;
+    int lose_gift_ = 0;
+    int gift_count_ = 0;
+    std::vector<std::function<void()>> gifts_; ///< answers under way
     int appends_ = 0;
     std::deque<slow_append> slow_;
     std::map<int, router> routers_;
