Prepaid: Limit what a long outage writes off

Cause: the spending limit of a report grew without end.

Ruled out: a lower rate, which refuses requests in bursts while the log is lost; copies of the reports at other gateways, which lose power in the same faults.

Change: a report states the most that may be spent until the next one: 10.5 s of demand beyond the slack, which covers an outage of that length. What is held beyond it is taken over.

Test: a_long_outage_writes_off_no_more_than_eleven_seconds_of_demand took over nothing before.

--- a/libraries/forwarding/include/almondcart/forwarding/spending_report.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/spending_report.hpp
@@ -25,6 +25,7 @@
     std::int64_t spent_tokens = 0; ///< in total, with what running requests may still consume
     std::int64_t slack_tokens = 0;
     std::int64_t rate_per_s = 0;
+    std::int64_t most_tokens = 0; ///< beyond `spent_tokens`, however late the next report is
 
     /// Most that may be spent `elapsed` after the report.
     std::int64_t limit_after(duration elapsed) const;
--- a/libraries/forwarding/src/draw_record.cpp
+++ b/libraries/forwarding/src/draw_record.cpp
@@ -27,6 +27,7 @@
     value["spent_tokens"] = Json::Int64(spending.spent_tokens);
     value["slack_tokens"] = Json::Int64(spending.slack_tokens);
     value["rate_per_s"] = Json::Int64(spending.rate_per_s);
+    value["most_tokens"] = Json::Int64(spending.most_tokens);
     value["boot_ms"] = Json::Int64(written.boot_ms);
     value["wall_ms"] = Json::Int64(written.wall_ms);
     if (!peer_address.empty())
@@ -52,6 +53,7 @@
     record.spending.spent_tokens = reader.integer("spent_tokens", 0, maximum);
     record.spending.slack_tokens = reader.integer("slack_tokens", 0, maximum);
     record.spending.rate_per_s = reader.integer("rate_per_s", 0, maximum);
+    record.spending.most_tokens = reader.integer("most_tokens", 0, maximum);
     record.written.boot_ms = reader.integer("boot_ms", 0, maximum);
     record.written.wall_ms = reader.integer("wall_ms", 0, maximum);
     record.peer_address = reader.string_or("peer_address", {});
--- a/libraries/forwarding/src/prepaid_holder.cpp
+++ b/libraries/forwarding/src/prepaid_holder.cpp
@@ -25,6 +25,10 @@
 constexpr double slack_demand_s = 0.5;
 constexpr double rate_factor = 1.3;
 
+/// Demand that may be spent after a report. It covers an outage of about that length; the rest of
+/// what is held is then not lost with the process.
+constexpr double outage_demand_s = 10.5;
+
 } // namespace
 
 std::string_view name_of(reservation result)
@@ -344,6 +348,9 @@
     record.spending.spent_tokens = std::max<std::int64_t>(0, state.spent_tokens() + waiting);
     auto const slack = static_cast<std::int64_t>(state.demand.per_s() * slack_demand_s);
     record.spending.slack_tokens = std::max(slack, state.largest_request);
+    record.spending.most_tokens =
+        record.spending.slack_tokens +
+        static_cast<std::int64_t>(state.demand.per_s() * outage_demand_s);
     record.spending.rate_per_s = static_cast<std::int64_t>(state.demand.per_s() * rate_factor);
     return record;
 }
--- a/libraries/forwarding/src/spending_report.cpp
+++ b/libraries/forwarding/src/spending_report.cpp
@@ -25,8 +25,8 @@
 {
     constexpr double milliseconds_per_second = 1000;
     double const seconds = static_cast<double>(elapsed.count()) / milliseconds_per_second;
-    return spent_tokens + slack_tokens +
-           static_cast<std::int64_t>(static_cast<double>(rate_per_s) * seconds);
+    auto const at_rate = static_cast<std::int64_t>(static_cast<double>(rate_per_s) * seconds);
+    return spent_tokens + std::min(slack_tokens + at_rate, most_tokens);
 }
 
 } // namespace almondcart::forwarding
--- a/libraries/forwarding/src/token_account.cpp
+++ b/libraries/forwarding/src/token_account.cpp
@@ -22,7 +22,7 @@
     held_ = held;
     spent_ = spent;
     claimed_ = claimed;
-    reported_ = {spent, 0, 0};
+    reported_ = {spent, 0, 0, 0};
     reported_at_ = now;
 }
 
@@ -52,7 +52,7 @@
 {
     claimed_ = std::max(claimed_, claimed);
     // Whichever of the two reports is on the log, nothing beyond what is spent now passes it.
-    reported_ = {std::min(spent_, reporting_->spent_tokens), 0, 0};
+    reported_ = {std::min(spent_, reporting_->spent_tokens), 0, 0, 0};
     returning_ = 0;
     reporting_.reset();
 }
--- a/tests/prepaid.cpp
+++ b/tests/prepaid.cpp
@@ -143,6 +143,26 @@
     cr_assert_leq(fleet.spent(), fleet.total());
 }
 
+// Pattern: outage that ends with the loss of all routers. Guards against writing off all that was
+// held, because the time since the last report counts as time of spending without end.
+Test(prepaid, a_long_outage_writes_off_no_more_than_eleven_seconds_of_demand)
+{
+    prepaid_fleet fleet(4, 8'000'000);
+    fleet.run(duration(10'000), 20'000, 2'000);
+    auto const held = fleet.holder(0).free_tokens(prepaid_fleet::account);
+    for (int i = 0; i < 4; ++i)
+        fleet.set_fault(i, fault::cut);
+    fleet.run(duration(8'000), 20'000, 2'000);
+    cr_assert_eq(fleet.count(reservation::unavailable), 0);
+    fleet.clock().advance(duration(6'000));
+    for (int i = 0; i < 4; ++i)
+        fleet.start(i);
+    auto const taken_over = fleet.holder(0).free_tokens(prepaid_fleet::account);
+    cr_assert_geq(taken_over, held - 11 * 20'000, "held %ld, taken over %ld", held, taken_over);
+    fleet.run(duration(100'000), 20'000, 2'000);
+    cr_assert_leq(fleet.spent(), fleet.total());
+}
+
 // Guards against a wall clock that was set back while the VM was down.
 Test(spending_report, elapsed_time_is_never_underestimated)
 {
@@ -346,14 +366,15 @@
 Test(prepaid, a_record_survives_its_text_form)
 {
     forwarding::draw_record const record{
-        {"club", "vm-1"}, 12'345, 12'000, 250, {300, 40, 5}, {1'000, 2'000}, "10.0.0.1:9"};
+        {"club", "vm-1"}, 12'345, 12'000, 250, {300, 40, 5, 45}, {1'000, 2'000}, "10.0.0.1:9"};
     auto const parsed = forwarding::draw_record::parse(record.key(), record.value());
     cr_assert(parsed.ok());
     cr_assert_eq(parsed->owner, record.owner);
     cr_assert_eq(parsed->claimed_tokens, record.claimed_tokens);
     cr_assert_eq(parsed->held_tokens, record.held_tokens);
     cr_assert_eq(parsed->demand_per_s, record.demand_per_s);
-    cr_assert_eq(parsed->spending.limit_after(duration(2'000)), 350);
+    cr_assert_eq(parsed->spending.limit_after(duration(500)), 342);
+    cr_assert_eq(parsed->spending.limit_after(duration(2'000)), 345, "most_tokens");
     cr_assert_eq(parsed->written.wall_ms, 2'000);
     cr_assert_eq(parsed->peer_address, record.peer_address);
     cr_assert_not(forwarding::draw_record::parse("club/vm-1", "{\"claimed_tokens\":-1}").ok());
