Prepaid: Report at once after a start, from the demand that the predecessor stated

Cause: a new process may not spend what it takes over before a report of its own is on the log. It wrote that report when the first request came, with no demand known.

Ruled out: spending under the predecessor's report, which a further start would charge again.

Change: an account that was taken over is reported at once, and its demand starts from the predecessor's estimate. The line at the end of a request names the tokens that it used.

Test: a_restarted_router_may_spend_in_an_outage_that_begins_at_once was refused before.

--- a/libraries/forwarding/include/almondcart/forwarding/token_account.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/token_account.hpp
@@ -51,6 +51,9 @@
     /// of this process is on the log, because a further start would count from the predecessor's.
     void take_over(std::int64_t held, std::int64_t spent, std::int64_t claimed, instant now);
 
+    /// Whether a report is to be written at once, because there is none of this process.
+    bool is_report_missing() const { return is_report_missing_; }
+
     /// A write with `report` begins, which gives back `returned` tokens.
     void begin_write(spending_report const& report, std::int64_t returned, instant now);
 
@@ -78,6 +81,7 @@
     std::int64_t spent_ = 0;     ///< of them, with what running requests may consume
     std::int64_t returning_ = 0; ///< in a write under way
     std::int64_t claimed_ = 0;
+    bool is_report_missing_ = false;
     spending_report reported_;
     instant reported_at_{};
     std::optional<spending_report> reporting_; ///< in a write under way; it may be on the log
--- a/libraries/forwarding/include/almondcart/forwarding/token_demand.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/token_demand.hpp
@@ -12,6 +12,9 @@
 class token_demand
 {
 public:
+    /// Starts from an estimate of another process.
+    void start(double per_s, instant now);
+
     void add(std::int64_t tokens) { window_tokens_ += static_cast<double>(tokens); }
 
     /// Takes what was added since the last call into the estimates.
--- a/libraries/forwarding/src/prepaid_holder.cpp
+++ b/libraries/forwarding/src/prepaid_holder.cpp
@@ -133,6 +133,8 @@
     auto const held = fits(record) ? record.claimed_tokens : std::max(record.held_tokens, spent);
     auto& state = accounts_[owner.account];
     state.take_over(held, spent, record.claimed_tokens, hooks_.clock());
+    state.demand.start(static_cast<double>(record.demand_per_s), hooks_.clock());
+    state.largest_request = record.spending.slack_tokens;
     if (hooks_.on_takeover)
         hooks_.on_takeover(
             owner.account, state.free_tokens(), spent - record.spending.spent_tokens);
@@ -220,7 +222,8 @@
     // A waiting request that is covered waits only for the limit of the last report.
     bool const is_wanted =
         !state.waiting.empty() && state.waiting.front().tokens <= state.free_tokens();
-    return is_wanted || (is_report_time_ && state.spent_tokens() != state.reported().spent_tokens);
+    return is_wanted || state.is_report_missing() ||
+           (is_report_time_ && state.spent_tokens() != state.reported().spent_tokens);
 }
 
 std::optional<reservation> prepaid_holder::judge(
@@ -348,9 +351,8 @@
     record.spending.spent_tokens = std::max<std::int64_t>(0, state.spent_tokens() + waiting);
     auto const slack = static_cast<std::int64_t>(state.demand.per_s() * slack_demand_s);
     record.spending.slack_tokens = std::max(slack, state.largest_request);
-    record.spending.most_tokens =
-        record.spending.slack_tokens +
-        static_cast<std::int64_t>(state.demand.per_s() * outage_demand_s);
+    record.spending.most_tokens = record.spending.slack_tokens +
+                                  static_cast<std::int64_t>(state.demand.per_s() * outage_demand_s);
     record.spending.rate_per_s = static_cast<std::int64_t>(state.demand.per_s() * rate_factor);
     return record;
 }
--- a/libraries/forwarding/src/token_account.cpp
+++ b/libraries/forwarding/src/token_account.cpp
@@ -24,6 +24,7 @@
     claimed_ = claimed;
     reported_ = {spent, 0, 0, 0};
     reported_at_ = now;
+    is_report_missing_ = true;
 }
 
 void token_account::begin_write(spending_report const& report, std::int64_t returned, instant now)
@@ -40,6 +41,7 @@
     claimed_ = claimed;
     reported_ = *std::exchange(reporting_, std::nullopt);
     reported_at_ = written;
+    is_report_missing_ = false;
 }
 
 void token_account::cancel_write()
--- a/libraries/forwarding/src/token_demand.cpp
+++ b/libraries/forwarding/src/token_demand.cpp
@@ -14,6 +14,13 @@
 
 } // namespace
 
+void token_demand::start(double per_s, instant now)
+{
+    recent_per_s_ = per_s;
+    long_per_s_ = per_s;
+    updated_ = now;
+}
+
 void token_demand::update(instant now)
 {
     auto const elapsed = now - updated_;
--- a/services/gateway/forward_session.hpp
+++ b/services/gateway/forward_session.hpp
@@ -82,6 +82,7 @@
     instant deadline_;
 
     std::int64_t reserved_tokens_ = 0;
+    std::int64_t used_tokens_ = 0; ///< of those reserved, once the request has ended
     int attempts_ = 0;
     int connect_failures_ = 0;
     run_state run_ = run_state::not_sent;
--- a/services/gateway/forward_session_end.cpp
+++ b/services/gateway/forward_session_end.cpp
@@ -106,15 +106,14 @@
 {
     if (reserved_tokens_ == 0)
         return;
-    std::int64_t used = 0;
     if (run_ == run_state::maybe_run)
     {
         auto const per_event = service_->engine ? service_->engine->tokens_per_event : 1;
-        used = request_.size->input_tokens +
+        used_tokens_ = request_.size->input_tokens +
                std::min(request_.size->output_limit_tokens, events_.event_count() * per_event);
     }
     context_.prepaid.of(account_->name)
-        .settle(account_->name, std::exchange(reserved_tokens_, 0), used);
+        .settle(account_->name, std::exchange(reserved_tokens_, 0), used_tokens_);
 }
 
 void forward_session::finish(std::string_view outcome, int status)
@@ -123,6 +122,8 @@
         return;
     deadline_timer_.cancel();
     silence_timer_.cancel();
+    ticket_.reset();
+    settle_tokens();
     auto const total = context_.loop.now() - arrived_;
     auto const kind = route_ == nullptr ? "none" : forwarding::name_of(route_->kind);
     context_.metrics.count_outcome(kind, outcome);
@@ -130,7 +131,7 @@
     spdlog::info(
         "[forward] request={} outcome={} status={} route={} account={} configuration={} "
         "upstream={} "
-        "attempts={} events={} first_ms={} total_ms={} limit_ms={}",
+        "attempts={} events={} tokens={} first_ms={} total_ms={} limit_ms={}",
         request_.id,
         outcome,
         status,
@@ -140,11 +141,10 @@
         last_upstream_.empty() ? "-" : last_upstream_,
         attempts_,
         events_.event_count(),
+        used_tokens_,
         first_byte_time_ ? first_byte_time_->count() : -1,
         total.count(),
         (deadline_ - arrived_).count());
-    ticket_.reset();
-    settle_tokens();
 }
 
 } // namespace almondcart
--- a/tests/prepaid.cpp
+++ b/tests/prepaid.cpp
@@ -143,6 +143,20 @@
     cr_assert_leq(fleet.spent(), fleet.total());
 }
 
+// Pattern: restart right before an outage. Guards against tokens that are taken over and cannot be
+// spent, because no report of the new process reached the log in time.
+Test(prepaid, a_restarted_router_may_spend_in_an_outage_that_begins_at_once)
+{
+    prepaid_fleet fleet(2, 8'000'000);
+    fleet.run(duration(10'000), 20'000, 2'000);
+    fleet.start(0);
+    fleet.advance(duration(10));
+    fleet.set_fault(0, fault::cut);
+    fleet.run(duration(6'000), 20'000, 2'000);
+    cr_assert_eq(fleet.count(reservation::unavailable), 0);
+    cr_assert_leq(fleet.spent(), fleet.total());
+}
+
 // Pattern: outage that ends with the loss of all routers. Guards against writing off all that was
 // held, because the time since the last report counts as time of spending without end.
 Test(prepaid, a_long_outage_writes_off_no_more_than_eleven_seconds_of_demand)
