Gateway: Send callers elsewhere while the VM's link is busy

Cause: the balancer spreads clients by hash over VMs of unequal size.

Ruled out: processor (0.05 of 0.09 cores at most), descriptors, memory. Refusing requests at such a VM costs callers a round and leaves them there.

Change: module link_load estimates the use of the link in the busier direction. From half of the capacity on, the gateway answers its readiness check with 503 and announces the end of each connection with its response; below 0.3, after 2 s at the earliest, it takes connections again. The capacity is a new setting, link_mbps.

Tests: link_load.a_link_in_heavy_use_is_overloaded_until_it_is_in_light_use and an_unknown_link_is_ never_overloaded; new module, so not seen failing on old code. begin_drain became set_draining.

--- a/libraries/http1/include/almondcart/http1/byte_stream.hpp
+++ b/libraries/http1/include/almondcart/http1/byte_stream.hpp
@@ -4,6 +4,7 @@
 #include <almondcart/http/socket_address.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -18,6 +19,13 @@
     failed,         ///< refused, reset or timed out; bytes may be missing
 };
 
+/// Bytes of all streams of this process since its start.
+struct byte_totals
+{
+    std::uint64_t received = 0;
+    std::uint64_t sent = 0;
+};
+
 /// TCP connection on an event loop, over h2o's sockets. Reads all the time, so that a peer that
 /// leaves is noticed at once. After `on_end`, or after destruction, no callback runs.
 class byte_stream
@@ -44,6 +52,8 @@
 
     void write(std::string_view data);
 
+    static byte_totals const& totals();
+
     /// Bytes that wait in this process.
     std::size_t pending_bytes() const;
 
--- a/libraries/http1/include/almondcart/http1/inbound_server.hpp
+++ b/libraries/http1/include/almondcart/http1/inbound_server.hpp
@@ -91,8 +91,8 @@
 
     void set_limits(inbound_limits limits);
 
-    /// Announces the end of each connection with its next response.
-    void begin_drain();
+    /// While set, announces the end of each connection with its next response.
+    void set_draining(bool is_draining);
 
     /// Closes the connections that have no request in progress.
     void close_idle();
--- a/libraries/http1/src/byte_stream.cpp
+++ b/libraries/http1/src/byte_stream.cpp
@@ -9,6 +9,17 @@
 
 namespace almondcart::http1 {
 
+namespace {
+
+/// The event loop is the only thread that touches it.
+byte_totals& mutable_totals()
+{
+    static byte_totals value;
+    return value;
+}
+
+} // namespace
+
 /// Shared with the socket, because h2o calls back for a write after its owner may be gone.
 struct byte_stream::state : std::enable_shared_from_this<byte_stream::state>
 {
@@ -55,6 +66,7 @@
         if (!is_connected || socket == nullptr || !writing.empty() || queued.empty())
             return;
         writing.swap(queued);
+        mutable_totals().sent += writing.size();
         auto buf = h2o_iovec_init(writing.data(), writing.size());
         h2o_socket_write(socket, &buf, 1, on_written);
     }
@@ -82,6 +94,7 @@
                 error == h2o_socket_error_closed ? stream_end::closed_by_peer : stream_end::failed);
             return;
         }
+        mutable_totals().received += socket->input->size;
         std::string const data(socket->input->bytes, socket->input->size);
         h2o_buffer_consume(&socket->input, socket->input->size);
         // A copy, because the callback may close the stream.
@@ -150,6 +163,11 @@
     return std::unique_ptr<byte_stream>(new byte_stream(std::move(data)));
 }
 
+byte_totals const& byte_stream::totals()
+{
+    return mutable_totals();
+}
+
 void byte_stream::write(std::string_view data)
 {
     state_->queued += data;
--- a/libraries/http1/src/inbound_server.cpp
+++ b/libraries/http1/src/inbound_server.cpp
@@ -84,9 +84,9 @@
     state_->limits = limits;
 }
 
-void inbound_server::begin_drain()
+void inbound_server::set_draining(bool is_draining)
 {
-    state_->is_draining = true;
+    state_->is_draining = is_draining;
 }
 
 void inbound_server::close_idle()
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include <almondcart/core/hash.hpp>
 #include <almondcart/core/logging.hpp>
 #include <almondcart/core/status.hpp>
+#include <almondcart/http1/byte_stream.hpp>
 #include <almondcart/platform/exchange_headers.hpp>
 #include <almondcart/platform/operator_records.hpp>
 
@@ -35,6 +36,14 @@
     return result;
 }
 
+forwarding::link_load_settings link_settings(gateway_settings const& settings)
+{
+    constexpr double bytes_per_megabit = 125'000;
+    forwarding::link_load_settings result;
+    result.bytes_per_s = settings.link_mbps * bytes_per_megabit;
+    return result;
+}
+
 std::int64_t modification_time_ns(std::string const& file)
 {
     struct stat information
@@ -110,6 +119,7 @@
           random_sequence(hash64(
               settings_.name,
               static_cast<std::uint64_t>(system_clock_source::wall_time_ms())))}
+    , link_([this] { return loop_.now(); }, link_settings(settings_))
 {}
 
 gateway::~gateway() = default;
@@ -293,7 +303,7 @@
 
 void gateway::answer_readiness(http_exchange& exchange) const
 {
-    bool const is_ready = context_.is_ready && !context_.is_stopping;
+    bool const is_ready = context_.is_ready && !context_.is_stopping && !link_.is_overloaded();
     exchange.respond_text(
         is_ready ? http_ok : http_unavailable, "text/plain", is_ready ? "ready" : "not ready");
 }
@@ -303,6 +313,7 @@
     update_readiness();
     flush_output_logging();
     prepaid_.tick();
+    watch_link();
     connections_.expire();
     metrics_.set_gauges(
         server_->connection_count(), connections_.opened_count(), store_.call_count());
@@ -310,6 +321,22 @@
         try_stop();
 }
 
+void gateway::watch_link()
+{
+    auto const& totals = http1::byte_stream::totals();
+    bool const was_overloaded = link_.is_overloaded();
+    link_.update(totals.received, totals.sent);
+    if (link_.is_overloaded() == was_overloaded)
+        return;
+    spdlog::info(
+        "[gateway] link overloaded={} utilization={:.2f} connections={}",
+        link_.is_overloaded(),
+        link_.utilization(),
+        server_->connection_count());
+    // Callers that connect again reach gateways with room.
+    server_->set_draining(link_.is_overloaded() || context_.is_stopping);
+}
+
 void gateway::check_settings()
 {
     auto const changed = modification_time_ns(settings_file_);
@@ -337,7 +364,7 @@
         return;
     spdlog::info("[gateway] stopping requests={}", server_->exchange_count());
     context_.stop_began = loop_.now();
-    server_->begin_drain();
+    server_->set_draining(true);
 }
 
 void gateway::try_stop()
--- a/services/gateway/gateway.hpp
+++ b/services/gateway/gateway.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <almondcart/forwarding/link_load.hpp>
 #include <almondcart/http/http_client.hpp>
 #include <almondcart/http/http_server.hpp>
 #include <almondcart/http1/inbound_server.hpp>
@@ -42,6 +43,7 @@
     void answer_readiness(http_exchange& exchange) const;
     void update_readiness();
     void housekeep();
+    void watch_link();
     void check_settings();
     void reload();
     void begin_stop();
@@ -61,6 +63,7 @@
     token_peers peers_;
     prepaid_accounts prepaid_;
     gateway_context context_;
+    forwarding::link_load link_;
     std::unique_ptr<platform::keyed_topic> configuration_topic_;
     std::unique_ptr<platform::keyed_topic> upstream_topic_;
     std::unique_ptr<http_server> readiness_server_;
--- a/services/gateway/gateway_settings.cpp
+++ b/services/gateway/gateway_settings.cpp
@@ -10,6 +10,8 @@
 constexpr double shortest_grace_s = 1;
 constexpr double longest_grace_s = 3600;
 
+constexpr double fastest_link_mbps = 1e6;
+
 /// The platform's store has room for 100 topics of all its users.
 constexpr std::int64_t topic_limit = 64;
 
@@ -38,6 +40,7 @@
             std::chrono::duration<double>(settings.shutdown_grace).count())));
     settings.prepaid_topics =
         static_cast<std::size_t>(reader.integer_or("prepaid_topics", 1, topic_limit, 1));
+    settings.link_mbps = reader.number_or("link_mbps", 0, fastest_link_mbps, 0);
     constexpr double percent = 100;
     constexpr std::int64_t percent_limit = 100;
     settings.retry_share = static_cast<double>(reader.integer_or(
--- a/services/gateway/gateway_settings.hpp
+++ b/services/gateway/gateway_settings.hpp
@@ -22,6 +22,7 @@
     std::string log_level = "info";
     duration shutdown_grace{8000};  ///< after which the platform kills a process that was to stop
     std::size_t prepaid_topics = 1; ///< topics for prepaid draws, the same on all gateways
+    double link_mbps = 0;           ///< that the VM's link carries each way; 0: not known
     double retry_share = 0.1;       ///< repeated attempts per first attempt
 
     /// Errors carry `invalid_settings` and name file, member and what was expected.
--- a/tests/forwarding.cpp
+++ b/tests/forwarding.cpp
@@ -1,5 +1,6 @@
 #include <almondcart/forwarding/configuration.hpp>
 #include <almondcart/forwarding/event_splitter.hpp>
+#include <almondcart/forwarding/link_load.hpp>
 #include <almondcart/forwarding/upstream_directory.hpp>
 #include <almondcart/forwarding/upstream_health.hpp>
 #include <almondcart/forwarding/upstream_picker.hpp>
@@ -204,3 +205,41 @@
     auto const first = it.picker.begin(it.directory.all().at("i-2"), nullptr);
     cr_assert_eq(it.pick(nullptr), "i-1");
 }
+
+// Pattern: more callers than the VM's link carries. Guards against callers that stay at a small VM
+// while others have room, and against a VM that turns away callers without need.
+Test(link_load, a_link_in_heavy_use_is_overloaded_until_it_is_in_light_use)
+{
+    manual_clock clock;
+    forwarding::link_load_settings settings;
+    settings.bytes_per_s = 1'000'000;
+    forwarding::link_load link(clock.function(), settings);
+    std::uint64_t received = 0;
+    auto const run = [&](duration time, std::uint64_t bytes_per_s)
+    {
+        for (duration now{0}; now < time; now += duration(50))
+        {
+            clock.advance(duration(50));
+            received += bytes_per_s / 20;
+            link.update(received, received / 2);
+        }
+    };
+    run(duration(5'000), 400'000);
+    cr_assert_not(link.is_overloaded());
+    run(duration(2'000), 700'000);
+    cr_assert(link.is_overloaded());
+    run(duration(5'000), 400'000);
+    cr_assert(link.is_overloaded(), "callers that return at once would overload it again");
+    run(duration(3'000), 200'000);
+    cr_assert_not(link.is_overloaded());
+}
+
+// Guards against a judgement where the capacity is not known.
+Test(link_load, an_unknown_link_is_never_overloaded)
+{
+    manual_clock clock;
+    forwarding::link_load link(clock.function(), {});
+    clock.advance(duration(50));
+    link.update(1'000'000'000, 0);
+    cr_assert_not(link.is_overloaded());
+}
