Soak: Run gateways with random faults and check what callers and upstreams see

Ruled out: threads or a second simulator; the stand-ins of the platform run on the soak's own event loop, and only the gateways are processes.

Processes are killed, paused, stopped and started again; the store is down or drops its history; upstreams fail, hang, cross answers, cut streams and drain; totals are topped up. It checks: whole and own answers with seal, no run after a refusal, runs per kind of request, ordered streams, tokens within the total, and service by each gateway after the faults.

--- a/tests/http1.cpp
+++ b/tests/http1.cpp
@@ -220,7 +220,7 @@
     raw_client client(it);
     client.stream->write("GET / HTTP/1.1\r\n\r\n");
     it.loop.run_until([&] { return !it.exchanges.empty(); });
-    it.server->begin_drain();
+    it.server->set_draining(true);
     it.exchanges[0]->respond(200, {}, "x");
     it.loop.run_until([&] { return client.is_ended; });
     cr_assert_neq(client.received.find("Connection: close"), std::string::npos);
--- /dev/null
+++ b/tests/soak/promises.cpp
@@ -0,0 +1,149 @@
+#include "promises.hpp"
+
+#include <almondcart/http/http_headers.hpp>
+
+#include <platform/upstream_standin.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace almondcart::soak {
+
+namespace {
+
+using http1::exchange_end;
+
+constexpr int attempt_limit = 2;
+constexpr int tokens_per_event = 4;
+
+bool is_success(int status)
+{
+    return status / 100 == 2;
+}
+
+/// Statuses that say that the request has not run and never will.
+bool is_not_run(int status)
+{
+    constexpr std::array<int, 4> statuses{408, 421, 429, 503};
+    return std::ranges::find(statuses, status) != statuses.end();
+}
+
+std::int64_t event_count(std::string const& body)
+{
+    std::int64_t n = 0;
+    for (auto at = body.find("\n\n"); at != std::string::npos; at = body.find("\n\n", at + 2))
+        ++n;
+    return n;
+}
+
+std::string events(std::int64_t last)
+{
+    std::string text;
+    for (std::int64_t id = 1; id <= last; ++id)
+        text += "id: " + std::to_string(id) + "\ndata: word\n\n";
+    return text;
+}
+
+} // namespace
+
+std::string_view path_of(work_kind kind)
+{
+    static constexpr std::array<std::string_view, 4> paths{
+        "/safe/x", "/unsafe/x", "/stream/x", "/resume/x"};
+    return paths.at(static_cast<std::size_t>(kind));
+}
+
+void promises::fail(std::string const& id, std::string const& what)
+{
+    broken_.push_back("request " + id + ": " + what);
+}
+
+void promises::charge(std::int64_t tokens)
+{
+    used_tokens_ += tokens;
+    if (used_tokens_ > total_ && tokens > 0)
+        fail("-", "used " + std::to_string(used_tokens_) + " of " + std::to_string(total_));
+}
+
+void promises::note_sent(call const& sent)
+{
+    requests_[sent.id] = {sent.kind, sent.input_tokens, 0, false};
+}
+
+void promises::note_run(std::string const& upstream, std::string const& id)
+{
+    auto const it = requests_.find(id);
+    if (it == requests_.end())
+    {
+        fail(id, "runs at " + upstream + ", but no caller sent it");
+        return;
+    }
+    auto& row = it->second;
+    ++row.runs;
+    bool const is_repeatable = row.kind == work_kind::safe || row.kind == work_kind::resumable;
+    if (row.is_refused)
+        fail(id, "runs at " + upstream + " after its caller was told that it will not");
+    if (!is_repeatable && row.runs > 1)
+        fail(id, "must not be repeated, but runs again at " + upstream);
+    if (row.runs > attempt_limit)
+        fail(id, "runs more often than its route allows");
+    if (row.runs == 1)
+        charge(row.input_tokens);
+}
+
+void promises::note_end(call const& ended)
+{
+    auto& row = requests_[ended.id];
+    bool const is_complete = ended.end == exchange_end::complete;
+    auto const status =
+        ended.end == exchange_end::not_connected || ended.end == exchange_end::not_answered
+            ? 0
+            : ended.head.status;
+    ++statuses_[status];
+    if (ended.end == exchange_end::malformed)
+        fail(ended.id, "its answer is not HTTP");
+    if (status != 0 && is_not_run(status))
+    {
+        row.is_refused = true;
+        if (row.runs > 0)
+            fail(ended.id, "ran, but its caller was told that it did not");
+        if (is_complete && !find_header(ended.head.headers, "Retry-After"))
+            fail(ended.id, "refused without Retry-After");
+    }
+    if (status != 0 && is_success(status))
+        check_success(ended);
+}
+
+void promises::check_success(call const& ended)
+{
+    auto const seal = find_header(ended.head.headers, "X-Almondcart-Response-Seal");
+    if (!seal || !seal->starts_with("seal-i-"))
+        fail(ended.id, "a success without the upstream's seal");
+    auto const answered = find_header(ended.head.headers, "X-Almondcart-Request-Id");
+    if (answered && *answered != ended.id)
+        fail(ended.id, "got the answer to " + std::string(*answered));
+    bool const is_complete = ended.end == exchange_end::complete;
+    if (ended.kind == work_kind::stream || ended.kind == work_kind::resumable)
+        check_stream(ended);
+    else if (is_complete && seal && ended.body != "answer of " + std::string(seal->substr(5)))
+        fail(ended.id, "another body than its upstream sent: " + ended.body);
+}
+
+void promises::check_stream(call const& ended)
+{
+    auto const n = event_count(ended.body);
+    if (!ended.body.starts_with(events(n)))
+        fail(ended.id, "events are missing, doubled or out of order: " + ended.body);
+    if (ended.end == exchange_end::complete && n != standins::upstream_standin::event_count)
+        fail(ended.id, "a stream that ends early looks complete");
+    if (ended.input_tokens > 0)
+        charge(n * tokens_per_event);
+}
+
+int promises::count(int status) const
+{
+    auto const it = statuses_.find(status);
+    return it == statuses_.end() ? 0 : it->second;
+}
+
+} // namespace almondcart::soak
--- /dev/null
+++ b/tests/soak/soak_fleet.cpp
@@ -0,0 +1,397 @@
+#include "soak_fleet.hpp"
+
+#include <almondcart/core/json.hpp>
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <utility>
+
+#include "support/tcp.hpp"
+
+namespace almondcart::soak {
+
+namespace {
+
+using http1::exchange_end;
+
+constexpr duration think_time{20};
+constexpr duration shortest_fault{200};
+constexpr duration longest_fault{2'500};
+constexpr duration shortest_pause{100};
+constexpr duration longest_pause{700};
+constexpr std::int64_t first_total = 40'000;
+constexpr std::int64_t top_up = 30'000;
+constexpr int output_limit_tokens = 24; ///< of each stream: 6 events of 4 tokens
+constexpr int one_in_sized = 2;         ///< streams whose tokens are counted
+
+} // namespace
+
+soak_fleet::soak_fleet(soak_settings settings)
+    : settings_(std::move(settings))
+    , random_(settings_.seed * 2 + 1)
+{
+    for (int i = 0; i < settings_.upstreams; ++i)
+    {
+        upstream it;
+        it.server = std::make_unique<standins::upstream_standin>(loop_, "i-" + std::to_string(i));
+        it.server->set_mode(standins::upstream_mode::by_path);
+        it.server->on_run([this, id = it.server->id()](std::string const& request)
+                          { checks_.note_run(id, request); });
+        it.link = std::make_unique<faulty_link>(loop_, it.server->address());
+        upstreams_.push_back(std::move(it));
+    }
+    configure(first_total);
+    for (auto const& it : upstreams_)
+        register_upstream(it, "ready");
+    for (int i = 0; i < settings_.gateways; ++i)
+    {
+        auto it = std::make_unique<gateway>();
+        it->name = "entry-" + std::to_string(i);
+        it->listen = test_support::find_free_address();
+        it->readiness = test_support::find_free_address();
+        it->peers = test_support::find_free_address();
+        it->status = test_support::find_free_address();
+        it->front = std::make_unique<faulty_link>(loop_, it->listen);
+        it->store = std::make_unique<faulty_link>(loop_, store_.address());
+        start(*it);
+        gateways_.push_back(std::move(it));
+    }
+    callers_.resize(static_cast<std::size_t>(settings_.callers));
+}
+
+soak_fleet::~soak_fleet() = default;
+
+std::string soak_fleet::file_of(gateway const& it, std::string_view suffix) const
+{
+    return settings_.log_directory + "/almondcart-soak-" + std::to_string(settings_.seed) + "-" +
+           it.name + std::string(suffix);
+}
+
+void soak_fleet::start(gateway& it)
+{
+    Json::Value settings(Json::objectValue);
+    settings["name"] = it.name;
+    settings["availability_zone"] = "zone-1";
+    settings["listen"] = it.listen;
+    settings["readiness_listen"] = it.readiness;
+    settings["status_listen"] = it.status;
+    settings["peer_listen"] = it.peers;
+    settings["store_address"] = it.store->address();
+    settings["prepaid_topics"] = 2;
+    auto const file = file_of(it, ".json");
+    std::ofstream(file) << to_compact_json(settings);
+    it.process.emplace(
+        std::vector<std::string>{
+            ALMONDCART_BINARY_DIRECTORY "/services/almondcart-gateway", "--settings", file},
+        file_of(it, ".log"));
+    it.is_busy = false;
+}
+
+void soak_fleet::configure(std::int64_t prepaid)
+{
+    prepaid_ = prepaid;
+    checks_.set_total(prepaid);
+    Json::Value config(Json::objectValue);
+    config["version"] = ++version_;
+    auto const add_route = [&](char const* path, char const* kind, bool is_resumable, int limit)
+    {
+        Json::Value route(Json::objectValue);
+        route["name"] = path;
+        route["hostname"] = "club.example";
+        route["pathPrefix"] = path;
+        route["kind"] = kind;
+        route["timeoutMs"] = 2000;
+        route["backend"] = "models";
+        route["attempts"] = limit;
+        route["streamResume"] = is_resumable;
+        config["routes"].append(route);
+    };
+    add_route("/safe/", "safe", false, 2);
+    add_route("/unsafe/", "unsafe", false, 1);
+    add_route("/stream/", "streaming", false, 1);
+    add_route("/resume/", "streaming", true, 2);
+    Json::Value service(Json::objectValue);
+    service["name"] = "models";
+    service["engine"]["slots"] = 8;
+    service["engine"]["stride"] = 4;
+    config["backends"].append(service);
+    Json::Value account(Json::objectValue);
+    account["name"] = "club";
+    account["apiKeys"].append("key-1");
+    account["prepaid"] = Json::Int64(prepaid);
+    config["tenants"].append(account);
+    store_.put("keyed.op", "config", to_compact_json(config));
+}
+
+void soak_fleet::register_upstream(upstream const& it, std::string const& state)
+{
+    store_.put(
+        "keyed.servers",
+        it.server->id(),
+        it.server->registry_entry("models", state, it.link->address()));
+}
+
+void soak_fleet::connect(caller& it)
+{
+    it.gateway = static_cast<std::size_t>(below(settings_.gateways));
+    it.connection = std::make_unique<http1::outbound_connection>(
+        loop_, *socket_address::parse(gateways_[it.gateway]->front->address()));
+}
+
+void soak_fleet::send_next(std::size_t caller)
+{
+    auto& it = callers_[caller];
+    if (is_over_ || it.is_waiting)
+        return;
+    if (it.connection == nullptr || !it.connection->is_reusable())
+        connect(it);
+    it.current = {};
+    it.current.id = std::to_string(settings_.seed) + "-" + std::to_string(next_request_++);
+    it.current.kind = static_cast<work_kind>(below(4));
+    http_headers headers{
+        {"Host", "club.example"},
+        {"X-Almondcart-Request-Id", it.current.id},
+        {"X-Almondcart-Deadline-Ms", "1500"},
+        {"Authorization", "Bearer key-1"}};
+    bool const is_stream =
+        it.current.kind == work_kind::stream || it.current.kind == work_kind::resumable;
+    if (is_stream && below(one_in_sized) == 0)
+    {
+        it.current.input_tokens = 50 + below(500);
+        headers.emplace_back(
+            "X-Almondcart-Token-Count",
+            std::to_string(it.current.input_tokens) + "," + std::to_string(output_limit_tokens));
+    }
+    checks_.note_sent(it.current);
+    http1::outbound_connection::exchange_callbacks callbacks;
+    callbacks.on_head = [this, caller](http1::response_head const& head)
+    {
+        callers_[caller].current.head = head;
+        return true;
+    };
+    callbacks.on_body = [this, caller](std::string_view data)
+    { callers_[caller].current.body += data; };
+    callbacks.on_end = [this, caller](exchange_end end) { finish(caller, end); };
+    std::string text = "POST " + std::string(path_of(it.current.kind)) + " HTTP/1.1\r\n";
+    http1::append_headers(text, headers);
+    it.is_waiting = true;
+    it.connection->send("POST", text + "Content-Length: 0\r\n\r\n", std::move(callbacks));
+}
+
+void soak_fleet::finish(std::size_t caller, exchange_end end)
+{
+    auto& it = callers_[caller];
+    it.current.end = end;
+    it.is_waiting = false;
+    checks_.note_end(it.current);
+    bool const is_success = end == exchange_end::complete && it.current.head.status == 200;
+    if (!is_faulty_ && is_success)
+        served_[it.gateway] = true;
+    loop_.after(think_time, [this, caller] { send_next(caller); });
+    // Callers move between gateways, some of them in each round.
+    if (!is_success || below(8) == 0)
+        loop_.post(
+            [this, caller]
+            {
+                if (!callers_[caller].is_waiting)
+                    callers_[caller].connection.reset();
+            });
+}
+
+void soak_fleet::note(std::string const& what)
+{
+    ++fault_count_;
+    std::cout << loop_.now().since_epoch.count() << " fault " << what << "\n";
+}
+
+void soak_fleet::kill(gateway& it)
+{
+    it.process->send_signal(SIGKILL);
+    it.process->wait();
+    loop_.after(random_.between(duration(0), duration(1'500)), [this, &it] { start(it); });
+}
+
+void soak_fleet::pause(gateway& it)
+{
+    it.process->send_signal(SIGSTOP);
+    loop_.after(
+        random_.between(shortest_fault, longest_fault),
+        [&it]
+        {
+            it.process->send_signal(SIGCONT);
+            it.is_busy = false;
+        });
+}
+
+void soak_fleet::stop(gateway& it)
+{
+    it.process->send_signal(SIGTERM);
+    // The platform kills what has not stopped in time.
+    loop_.after(
+        duration(8'000),
+        [this, &it]
+        {
+            it.process->send_signal(SIGKILL);
+            it.process->wait();
+            start(it);
+        });
+}
+
+void soak_fleet::fault_process(gateway& it)
+{
+    if (std::exchange(it.is_busy, true))
+        return;
+    switch (below(4))
+    {
+    case 0:
+        note("pause " + it.name);
+        pause(it);
+        break;
+    case 1:
+        note("stop " + it.name);
+        stop(it);
+        break;
+    default:
+        note("kill " + it.name);
+        kill(it);
+        break;
+    }
+}
+
+void soak_fleet::fault_link(faulty_link& link, std::string const& name)
+{
+    auto const fault = static_cast<link_fault>(1 + below(5));
+    note(std::string(name_of(fault)) + " " + name);
+    link.set_fault(fault);
+    loop_.after(
+        random_.between(shortest_fault, longest_fault),
+        [&link] { link.set_fault(link_fault::none); });
+}
+
+void soak_fleet::fault_store()
+{
+    if (below(3) == 0)
+    {
+        note("history of the store is dropped");
+        for (auto const* topic :
+             {"keyed.op", "keyed.servers", "keyed.prepaid-draws-0", "keyed.prepaid-draws-1"})
+            store_.drop_history(topic);
+        store_.drop_waiting_reads();
+        return;
+    }
+    note("store is down");
+    store_.set_down(true);
+    store_.drop_waiting_reads();
+    loop_.after(random_.between(shortest_fault, longest_fault), [this] { store_.set_down(false); });
+}
+
+void soak_fleet::fault_upstream(upstream& it)
+{
+    using standins::upstream_mode;
+    static constexpr std::array modes{
+        upstream_mode::lost,
+        upstream_mode::full,
+        upstream_mode::silent,
+        upstream_mode::failing,
+        upstream_mode::crossed,
+        upstream_mode::cut_stream};
+    auto const choice = static_cast<std::size_t>(below(modes.size() + 1));
+    auto const end = random_.between(shortest_fault, longest_fault);
+    if (choice == modes.size())
+    {
+        note("drain " + it.server->id());
+        register_upstream(it, "draining");
+        loop_.after(end, [this, &it] { register_upstream(it, "ready"); });
+        return;
+    }
+    note("mode " + std::to_string(choice) + " " + it.server->id());
+    it.server->set_mode(modes[choice]);
+    loop_.after(
+        end,
+        [&it]
+        {
+            it.server->set_mode(upstream_mode::by_path);
+            it.server->release();
+        });
+}
+
+void soak_fleet::change_configuration()
+{
+    note("top-up");
+    configure(prepaid_ + top_up);
+}
+
+void soak_fleet::inject()
+{
+    if (!is_faulty_)
+        return;
+    auto& it = *gateways_[static_cast<std::size_t>(below(settings_.gateways))];
+    auto& server = upstreams_[static_cast<std::size_t>(below(settings_.upstreams))];
+    switch (below(8))
+    {
+    case 0:
+    case 1:
+        fault_process(it);
+        break;
+    case 2:
+        fault_link(*it.front, "front of " + it.name);
+        break;
+    case 3:
+        fault_link(*it.store, "store link of " + it.name);
+        break;
+    case 4:
+        fault_link(*server.link, "link of " + server.server->id());
+        break;
+    case 5:
+        fault_store();
+        break;
+    case 6:
+        fault_upstream(server);
+        break;
+    default:
+        change_configuration();
+        break;
+    }
+    loop_.after(random_.between(shortest_pause, longest_pause), [this] { inject(); });
+}
+
+void soak_fleet::end_faults()
+{
+    is_faulty_ = false;
+    served_.assign(gateways_.size(), false);
+    configure(prepaid_ + top_up);
+}
+
+bool soak_fleet::is_served(std::size_t gateway)
+{
+    return served_[gateway];
+}
+
+void soak_fleet::run()
+{
+    for (std::size_t i = 0; i < callers_.size(); ++i)
+        send_next(i);
+    loop_.after(duration(1'000), [this] { inject(); });
+    bool is_time_up = false;
+    loop_.after(settings_.time, [&] { is_time_up = true; });
+    loop_.run_until([&] { return is_time_up; });
+    end_faults();
+    loop_.run_until(
+        [this]
+        {
+            for (std::size_t i = 0; i < gateways_.size(); ++i)
+            {
+                if (!is_served(i))
+                    return false;
+            }
+            return true;
+        });
+    is_over_ = true;
+    // A request that was refused must not run later either.
+    bool is_quiet = false;
+    loop_.after(duration(2'000), [&] { is_quiet = true; });
+    loop_.run_until([&] { return is_quiet; });
+}
+
+} // namespace almondcart::soak
--- a/utilities/standins/platform/upstream_standin.cpp
+++ b/utilities/standins/platform/upstream_standin.cpp
@@ -39,12 +39,14 @@
     return "127.0.0.1:" + std::to_string(server_->port());
 }
 
-std::string
-upstream_standin::registry_entry(std::string const& service, std::string const& state) const
+std::string upstream_standin::registry_entry(
+    std::string const& service,
+    std::string const& state,
+    std::string const& reached_at) const
 {
     Json::Value entry(Json::objectValue);
     entry["backend"] = service;
-    entry["address"] = address();
+    entry["address"] = reached_at.empty() ? address() : reached_at;
     entry["zone"] = "zone-1";
     entry["slots"] = 8;
     entry["state"] = state;
@@ -69,10 +71,18 @@
         return;
     }
     ++runs_[request_id];
+    if (run_callback_)
+        run_callback_(request_id);
     exchange->on_disconnect([this] { ++left_count_; });
     auto const after = parse_integer<int>(header_of(*exchange, "Last-Event-Id")).value_or(0);
-    switch (mode_)
+    auto const& target = exchange->head().target;
+    bool const is_stream = target.starts_with("/stream/") || target.starts_with("/resume/");
+    auto const mode = mode_ != upstream_mode::by_path ? mode_
+                      : is_stream                     ? upstream_mode::stream
+                                                      : upstream_mode::whole;
+    switch (mode)
     {
+    case upstream_mode::by_path:
     case upstream_mode::whole:
         exchange->respond(200, headers_for(*exchange), "answer of " + id_);
         break;
--- a/utilities/standins/platform/upstream_standin.hpp
+++ b/utilities/standins/platform/upstream_standin.hpp
@@ -14,6 +14,7 @@
 enum class upstream_mode
 {
     whole,      ///< one body
+    by_path,    ///< as `stream` for paths that begin with "/stream/" or "/resume/", else `whole`
     stream,     ///< events 1 to `event_count`, from the one after Last-Event-Id
     cut_stream, ///< half of the events, then half of an event and a closed connection
     lost,       ///< runs the request and closes the connection
@@ -32,8 +33,11 @@
     std::string const& id() const { return id_; }
     std::string address() const;
 
-    /// Entry in the registry.
-    std::string registry_entry(std::string const& service, std::string const& state) const;
+    /// Entry in the registry; `reached_at` stands in for the own address, unless it is empty.
+    std::string registry_entry(
+        std::string const& service,
+        std::string const& state,
+        std::string const& reached_at = {}) const;
 
     void set_mode(upstream_mode mode) { mode_ = mode; }
 
@@ -42,6 +46,12 @@
     /// Requests that ran, by id.
     std::map<std::string, int> const& runs() const { return runs_; }
 
+    /// Called for each request that begins to run.
+    void on_run(std::function<void(std::string const& id)> callback)
+    {
+        run_callback_ = std::move(callback);
+    }
+
     /// Heads of all requests that arrived.
     std::vector<http1::request_head> const& heads() const { return heads_; }
 
@@ -63,6 +73,7 @@
     upstream_mode mode_ = upstream_mode::whole;
     bool is_holding_ = false;
     std::map<std::string, int> runs_;
+    std::function<void(std::string const&)> run_callback_;
     std::vector<http1::request_head> heads_;
     std::vector<std::function<void()>> held_;
     std::vector<std::shared_ptr<http1::inbound_exchange>> silent_;
