Prepaid: Draw anew after a start, without a fence of its own

Cause: a start appended an empty record to each topic to bring its epoch into force before it read.

Ruled out: reading without the fence and keeping what the predecessor held: its last record may give tokens back and arrive after the read, and others would draw them too.

Change: a new process is charged for what its predecessor may have spent and draws the rest by a claim, which is judged like any other. The first append brings the epoch into force. Records need no held_tokens.

--- a/libraries/forwarding/include/almondcart/forwarding/draw_record.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/draw_record.hpp
@@ -30,9 +30,6 @@
     /// Most that the owner may hold or have spent: what it holds and what it claims.
     std::int64_t claimed_tokens = 0;
 
-    /// Part of `claimed_tokens` that the owner held when it wrote the record.
-    std::int64_t held_tokens = 0;
-
     std::int64_t demand_per_s = 0; ///< tokens that the owner's callers ask for
     spending_report spending;
     clock_reading written;
--- a/libraries/forwarding/include/almondcart/forwarding/draw_writer.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/draw_writer.hpp
@@ -16,7 +16,7 @@
 {
     std::uint64_t epoch = 0;
     std::uint64_t sequence = 0;
-    std::vector<draw_record> records; ///< none: only the epoch takes effect
+    std::vector<draw_record> records;
 };
 
 enum class append_outcome
@@ -51,8 +51,8 @@
 };
 
 /// Writes draw records of one VM to the log: one append at a time, sent again until its outcome is
-/// known. It first claims an epoch, which shuts out appends of earlier processes that are still
-/// under way.
+/// known. Its first append brings an epoch into force, which shuts out appends of earlier processes
+/// that are still under way.
 class draw_writer
 {
 public:
@@ -63,7 +63,6 @@
     {
         clock_function clock;
         append_function append;
-        std::function<void()> on_open; ///< no append of an earlier process can arrive any more
         std::function<void(write_end, std::vector<draw_record> const&, std::int64_t offset)> on_end;
     };
 
@@ -71,16 +70,16 @@
     /// are tried.
     draw_writer(draw_writer_settings settings, std::uint64_t first_epoch, hooks hooks);
 
-    /// Claims the epoch and sends again. To be called often.
+    /// Sends again what has no answer. To be called often.
     void tick();
 
     /// Whether `write` may be called.
-    bool is_idle() const { return is_open_ && !pending_ && hooks_.clock() >= next_attempt_; }
+    bool is_idle() const { return !pending_ && hooks_.clock() >= next_attempt_; }
 
     /// Whether another process writes under this name, so that nothing can be written any more.
     bool is_fenced() const { return is_fenced_; }
 
-    bool is_writing() const { return is_open_ && pending_.has_value(); }
+    bool is_writing() const { return pending_.has_value(); }
 
     void write(std::vector<draw_record> records);
 
@@ -101,12 +100,10 @@
         bool is_unknown = false; ///< an earlier copy may take effect
     };
 
-    void claim_epoch();
     void send();
     void check_answer();
     void finish(append_result const& result, duration time);
-    void finish_claim(append_result const& result);
-    void finish_write(append_result const& result);
+    void finish_fenced();
     void retry_later();
     void conclude(write_end end, std::int64_t offset);
 
@@ -119,8 +116,7 @@
     duration append_time_{0};
     duration retry_{0};
     instant next_attempt_{};
-    bool is_open_ = false;
-    bool was_open_ = false;
+    bool has_appended_ = false; ///< in this epoch
     bool is_fenced_ = false;
 };
 
--- a/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
@@ -41,8 +41,8 @@
 /// no knowledge of the log's end, so those of many routers are never in conflict.
 ///
 /// Only the owner of tokens spends them. It reports its spending on the log and keeps to the limit
-/// that each report states; the next process on the same VM takes over what its predecessor cannot
-/// have spent. What a VM that never returns held stays drawn.
+/// that each report states; the next process on the same VM is charged for what its predecessor
+/// may have spent, and draws the rest anew. What a VM that never returns held stays drawn.
 class prepaid_holder
 {
 public:
@@ -58,9 +58,6 @@
         /// Prepaid total of an account, nothing if it is not limited.
         total_function total;
 
-        /// Appends of earlier processes on this VM can arrive no more; the log is to be read now.
-        std::function<void()> on_open;
-
         /// A claim is on the log behind the position that is known.
         std::function<void()> on_behind;
 
@@ -68,9 +65,10 @@
         /// asked; if not, none are to be had. May be empty.
         std::function<bool(token_request const&)> ask_peers;
 
-        /// Tokens of a predecessor that were taken over, and those that it may have spent.
+        /// Tokens of a predecessor that are given up, and those that it may have spent since its
+        /// last report.
         std::function<
-            void(std::string const& account, std::int64_t taken_over, std::int64_t written_off)>
+            void(std::string const& account, std::int64_t given_up, std::int64_t written_off)>
             on_takeover;
 
         /// End of a claim.
--- a/libraries/forwarding/include/almondcart/forwarding/token_account.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/token_account.hpp
@@ -47,9 +47,10 @@
     void spend(std::int64_t tokens) { spent_ += tokens; }
     void unspend(std::int64_t tokens) { spent_ -= tokens; }
 
-    /// Starts with what a predecessor held and may have spent. Nothing can be spent before a report
-    /// of this process is on the log, because a further start would count from the predecessor's.
-    void take_over(std::int64_t held, std::int64_t spent, std::int64_t claimed, instant now);
+    /// Starts with what a predecessor may have spent of what it `claimed`. The rest is given up and
+    /// drawn anew: the predecessor may not have held all of its claim, and a record of it that is
+    /// still under way may give tokens back.
+    void take_over(std::int64_t spent, std::int64_t claimed, instant now);
 
     /// Whether a report is to be written at once, because there is none of this process.
     bool is_report_missing() const { return is_report_missing_; }
--- a/libraries/forwarding/src/draw_record.cpp
+++ b/libraries/forwarding/src/draw_record.cpp
@@ -22,7 +22,6 @@
 {
     Json::Value value(Json::objectValue);
     value["claimed_tokens"] = Json::Int64(claimed_tokens);
-    value["held_tokens"] = Json::Int64(held_tokens);
     value["demand_per_s"] = Json::Int64(demand_per_s);
     value["spent_tokens"] = Json::Int64(spending.spent_tokens);
     value["slack_tokens"] = Json::Int64(spending.slack_tokens);
@@ -48,7 +47,6 @@
     json_reader reader(*json, "draw record", result_code::malformed_request);
     constexpr auto maximum = std::numeric_limits<std::int64_t>::max();
     record.claimed_tokens = reader.integer("claimed_tokens", 0, maximum);
-    record.held_tokens = reader.integer("held_tokens", 0, maximum);
     record.demand_per_s = reader.integer("demand_per_s", 0, maximum);
     record.spending.spent_tokens = reader.integer("spent_tokens", 0, maximum);
     record.spending.slack_tokens = reader.integer("slack_tokens", 0, maximum);
--- a/libraries/forwarding/src/draw_writer.cpp
+++ b/libraries/forwarding/src/draw_writer.cpp
@@ -25,20 +25,10 @@
     check_answer();
     if (hooks_.clock() < next_attempt_)
         return;
-    if (!is_open_ && !pending_)
-        claim_epoch();
-    else if (pending_ && !pending_->is_in_flight)
+    if (pending_ && !pending_->is_in_flight)
         send();
 }
 
-void draw_writer::claim_epoch()
-{
-    pending_.emplace();
-    pending_->append.epoch = epoch_;
-    pending_->first_sent = hooks_.clock();
-    send();
-}
-
 void draw_writer::write(std::vector<draw_record> records)
 {
     pending_.emplace();
@@ -95,35 +85,6 @@
     {
         failing_since_ = pending_->first_sent;
     }
-    if (is_open_)
-        finish_write(result);
-    else
-        finish_claim(result);
-}
-
-void draw_writer::finish_claim(append_result const& result)
-{
-    if (result.outcome == append_outcome::appended)
-    {
-        pending_.reset();
-        is_open_ = true;
-        next_sequence_ = 1;
-        if (!std::exchange(was_open_, true))
-            hooks_.on_open();
-        return;
-    }
-    if (result.outcome == append_outcome::fenced)
-    {
-        // The epochs of this process rise; a lower one can only be due to its clock.
-        epoch_ += epoch_step;
-        pending_.reset();
-        return;
-    }
-    retry_later();
-}
-
-void draw_writer::finish_write(append_result const& result)
-{
     switch (result.outcome)
     {
     case append_outcome::appended:
@@ -139,18 +100,28 @@
         next_attempt_ = hooks_.clock() + settings_.unknown_retry;
         return;
     case append_outcome::fenced:
-        is_fenced_ = true;
-        conclude(write_end::uncertain, 0);
+        finish_fenced();
         return;
     case append_outcome::out_of_sequence:
         // A higher epoch starts with a sequence number of its own.
         ++epoch_;
-        is_open_ = false;
+        next_sequence_ = 1;
+        has_appended_ = false;
         conclude(write_end::uncertain, 0);
         return;
     }
 }
 
+void draw_writer::finish_fenced()
+{
+    // The epochs of this process rise; before its first append, a lower one is due to its clock.
+    is_fenced_ = has_appended_;
+    if (!is_fenced_)
+        epoch_ += epoch_step;
+    bool const is_uncertain = is_fenced_ || pending_->is_unknown;
+    conclude(is_uncertain ? write_end::uncertain : write_end::not_appended, 0);
+}
+
 void draw_writer::retry_later()
 {
     retry_ = std::clamp(retry_ * 2, settings_.retry_first, settings_.retry_longest);
@@ -161,7 +132,10 @@
 {
     auto const append = std::exchange(pending_, std::nullopt)->append;
     if (end == write_end::appended)
+    {
         ++next_sequence_;
+        has_appended_ = true;
+    }
     hooks_.on_end(end, append.records, offset);
 }
 
--- a/libraries/forwarding/src/prepaid_holder.cpp
+++ b/libraries/forwarding/src/prepaid_holder.cpp
@@ -54,7 +54,6 @@
     draw_writer::hooks hooks;
     hooks.clock = hooks_.clock;
     hooks.append = hooks_.append;
-    hooks.on_open = [this] { hooks_.on_open(); };
     hooks.on_end =
         [this](write_end end, std::vector<draw_record> const& records, std::int64_t offset)
     { finish_write(end, records, offset); };
@@ -129,15 +128,13 @@
     clock_reading const start{started_.since_epoch.count(), started_wall_ms_};
     auto const elapsed = longest_elapsed(record.written, start, settings_.clock_error);
     auto const spent = std::min(record.claimed_tokens, record.spending.limit_after(elapsed));
-    // The predecessor may not have learned that its claim fits, but may have spent it if it did.
-    auto const held = fits(record) ? record.claimed_tokens : std::max(record.held_tokens, spent);
     auto& state = accounts_[owner.account];
-    state.take_over(held, spent, record.claimed_tokens, hooks_.clock());
+    state.take_over(spent, record.claimed_tokens, hooks_.clock());
     state.demand.start(static_cast<double>(record.demand_per_s), hooks_.clock());
     state.largest_request = record.spending.slack_tokens;
     if (hooks_.on_takeover)
         hooks_.on_takeover(
-            owner.account, state.free_tokens(), spent - record.spending.spent_tokens);
+            owner.account, record.claimed_tokens - spent, spent - record.spending.spent_tokens);
 }
 
 std::int64_t prepaid_holder::free_tokens(std::string const& account) const
@@ -336,7 +333,6 @@
     draw_record record;
     record.owner = {account, settings_.vm};
     record.claimed_tokens = state.held_tokens() + delta;
-    record.held_tokens = std::min(state.held_tokens(), record.claimed_tokens);
     record.demand_per_s = static_cast<std::int64_t>(state.demand.per_s());
     record.peer_address = settings_.peer_address;
     record.written = {hooks_.clock().since_epoch.count(), hooks_.wall_time_ms()};
--- a/libraries/forwarding/src/token_account.cpp
+++ b/libraries/forwarding/src/token_account.cpp
@@ -13,13 +13,9 @@
     return std::min(free_tokens(), limit - spent_);
 }
 
-void token_account::take_over(
-    std::int64_t held,
-    std::int64_t spent,
-    std::int64_t claimed,
-    instant now)
+void token_account::take_over(std::int64_t spent, std::int64_t claimed, instant now)
 {
-    held_ = held;
+    held_ = spent;
     spent_ = spent;
     claimed_ = claimed;
     reported_ = {spent, 0, 0, 0};
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -195,7 +195,7 @@
     loop_.on_stop_signal([this] { begin_stop(); });
     follow_configuration();
     follow_upstreams();
-    prepaid_.tick();
+    prepaid_.start();
     loop_.every(housekeeping_interval, [this] { housekeep(); });
     loop_.every(settings_check_interval, [this] { check_settings(); });
 }
@@ -217,7 +217,8 @@
     configuration_topic_ = std::make_unique<platform::keyed_topic>(
         loop_,
         store_,
-        platform::keyed_topic_settings{.topic = platform::configuration_topic},
+        platform::keyed_topic_settings{
+            .topic = platform::configuration_topic, .seed = hash64(settings_.name)},
         std::move(hooks));
     configuration_topic_->start();
 }
@@ -274,7 +275,10 @@
     upstream_topic_ = std::make_unique<platform::keyed_topic>(
         loop_,
         store_,
-        platform::keyed_topic_settings{.topic = platform::upstream_topic, .pause = upstream_pause},
+        platform::keyed_topic_settings{
+            .topic = platform::upstream_topic,
+            .pause = upstream_pause,
+            .seed = hash64(settings_.name)},
         std::move(hooks));
     upstream_topic_->start();
 }
--- a/services/gateway/prepaid_accounts.cpp
+++ b/services/gateway/prepaid_accounts.cpp
@@ -26,6 +26,12 @@
             loop, store, topic_prefix + std::to_string(i), settings, total, peers));
 }
 
+void prepaid_accounts::start()
+{
+    for (auto const& it : logs_)
+        it->start();
+}
+
 void prepaid_accounts::tick()
 {
     for (auto const& it : logs_)
--- a/services/gateway/prepaid_accounts.hpp
+++ b/services/gateway/prepaid_accounts.hpp
@@ -24,6 +24,7 @@
         forwarding::prepaid_holder::total_function const& total,
         forwarding::token_exchange& peers);
 
+    void start();
     void tick();
     void begin_shutdown();
 
--- a/services/gateway/prepaid_log.cpp
+++ b/services/gateway/prepaid_log.cpp
@@ -1,5 +1,6 @@
 #include "prepaid_log.hpp"
 
+#include <almondcart/core/hash.hpp>
 #include <almondcart/core/status.hpp>
 
 #include <spdlog/spdlog.h>
@@ -57,14 +58,13 @@
                [this](forwarding::draw_append const& it, std::function<void(append_result)> done)
            { append(it, std::move(done)); },
            .total = std::move(total),
-           .on_open = [this] { follower_.start(); },
            .on_behind = [this] { follower_.hurry(); },
            .ask_peers = [this](forwarding::token_request const& it) { return peers_.request(it); },
            .on_takeover =
                [](std::string const& account, std::int64_t taken, std::int64_t written_off)
            {
                spdlog::info(
-                   "[prepaid] account={} takes over tokens={} written_off={}",
+                   "[prepaid] account={} after a start: given_up={} written_off={}",
                    account,
                    taken,
                    written_off);
@@ -73,14 +73,17 @@
                [](draw_record const& it, bool is_accepted)
            {
                spdlog::info(
-                   "[prepaid] account={} claimed={} held={} demand_per_s={} {}",
+                   "[prepaid] account={} claimed={} demand_per_s={} {}",
                    it.owner.account,
                    it.claimed_tokens,
-                   it.held_tokens,
                    it.demand_per_s,
                    is_accepted ? "accepted" : "turned down");
            }})
-    , follower_(loop, store, {.topic = topic_, .pause = read_pause}, create_hooks())
+    , follower_(
+          loop,
+          store,
+          {.topic = topic_, .pause = read_pause, .seed = hash64(producer_)},
+          create_hooks())
 {}
 
 platform::keyed_topic::hooks prepaid_log::create_hooks()
--- a/services/gateway/prepaid_log.hpp
+++ b/services/gateway/prepaid_log.hpp
@@ -21,6 +21,7 @@
         forwarding::prepaid_holder::total_function total,
         forwarding::token_exchange& peers);
 
+    void start() { follower_.start(); }
     forwarding::prepaid_holder& holder() { return holder_; }
     bool is_synced() const { return follower_.is_synced(); }
 
