Gateway: Reload at SIGHUP

Cause: the gateway had no handler for SIGHUP, so it ended.

Change: event_loop::on_reload_signal; the gateway reads its settings again. The soak sends it too.

Test: gateway.a_reload_signal_cuts_no_request hung until its time limit on the code before.

--- a/libraries/http/include/almondcart/http/event_loop.hpp
+++ b/libraries/http/include/almondcart/http/event_loop.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <initializer_list>
 #include <map>
 #include <memory>
 #include <utility>
@@ -52,6 +53,9 @@
     /// Calls `callback` for each SIGTERM or SIGINT, in place of the default action.
     void on_stop_signal(std::function<void()> callback);
 
+    /// Calls `callback` for each SIGHUP, in place of the default action.
+    void on_reload_signal(std::function<void()> callback);
+
     /// Calls `callback` whenever `fd` is readable. The loop owns `fd` until `unwatch`, which closes
     /// it.
     st_h2o_socket_t* watch(int fd, std::function<void()> callback);
@@ -69,6 +73,7 @@
 
     using timer_key = std::pair<instant, std::uint64_t>;
 
+    void watch_signals(std::initializer_list<int> numbers, std::function<void()> const& callback);
     timer add_timer(duration delay, duration period, std::function<void()> callback);
     void cancel(detail::timer_entry& entry);
     bool run_due_timers();
@@ -82,7 +87,7 @@
     std::map<st_h2o_socket_t*, std::unique_ptr<std::function<void()>>> watches_;
     std::map<void const*, std::shared_ptr<void>> retained_;
     std::function<void()> stop_signal_callback_;
-    bool has_signal_watch_ = false;
+    std::function<void()> reload_signal_callback_;
 };
 
 } // namespace almondcart
--- a/libraries/http/src/event_loop.cpp
+++ b/libraries/http/src/event_loop.cpp
@@ -139,23 +139,37 @@
 
 void event_loop::on_stop_signal(std::function<void()> callback)
 {
+    bool const is_watched = stop_signal_callback_ != nullptr;
     stop_signal_callback_ = std::move(callback);
-    if (has_signal_watch_)
-        return;
-    has_signal_watch_ = true;
+    if (!is_watched)
+        watch_signals({SIGTERM, SIGINT}, stop_signal_callback_);
+}
+
+void event_loop::on_reload_signal(std::function<void()> callback)
+{
+    bool const is_watched = reload_signal_callback_ != nullptr;
+    reload_signal_callback_ = std::move(callback);
+    if (!is_watched)
+        watch_signals({SIGHUP}, reload_signal_callback_);
+}
+
+void event_loop::watch_signals(
+    std::initializer_list<int> numbers,
+    std::function<void()> const& callback)
+{
     sigset_t signals;
     sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
+    for (int const it : numbers)
+        sigaddset(&signals, it);
     sigprocmask(SIG_BLOCK, &signals, nullptr);
     int const fd = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
     watch(
         fd,
-        [this, fd]
+        [&callback, fd]
         {
             signalfd_siginfo information{};
             while (read(fd, &information, sizeof(information)) == sizeof(information))
-                stop_signal_callback_();
+                callback();
         });
 }
 
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -193,6 +193,7 @@
         settings_.listen,
         loop_.now().since_epoch.count());
     loop_.on_stop_signal([this] { begin_stop(); });
+    loop_.on_reload_signal([this] { reload(); });
     follow_configuration();
     follow_upstreams();
     prepaid_.start();
--- a/services/gateway/main.cpp
+++ b/services/gateway/main.cpp
@@ -3,6 +3,7 @@
 
 #include <cxxopts.hpp>
 
+#include <csignal>
 #include <iostream>
 
 #include "gateway.hpp"
@@ -22,6 +23,8 @@
     auto settings = almondcart::gateway_settings::load(file);
     if (!settings.ok())
         return report(settings.status());
+    // The event loop takes the signal over; one that comes earlier has nothing to reload.
+    std::signal(SIGHUP, SIG_IGN);
     if (is_check)
     {
         std::cout << file << ": valid\n";
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -118,6 +118,13 @@
 
     void run_until(std::function<bool()> const& is_done) { loop.run_until(is_done); }
 
+    /// What the process has written so far.
+    std::string output() const
+    {
+        std::ifstream file(output_file);
+        return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
+    }
+
     /// Sends a request and does not wait.
     std::shared_ptr<caller_answer> send(
         std::string const& address,
@@ -434,6 +441,26 @@
     cr_assert_eq(it.gateway->wait(), 0);
 }
 
+// Guards against a process that ends when it is told that its settings changed.
+Test(gateway, a_reload_signal_cuts_no_request)
+{
+    gateway_fixture it;
+    it.start_serving(10'000);
+    it.first.set_mode(upstream_mode::stream);
+    it.second.set_mode(upstream_mode::stream);
+    it.first.set_holding(true);
+    it.second.set_holding(true);
+    auto const stream = it.send(it.listen, "POST", "/stream/x", sized("r-1", 100, 24));
+    it.run_until([&] { return stream->body.find("id: 1") != std::string::npos; });
+    it.gateway->send_signal(SIGHUP);
+    it.run_until([&] { return it.output().find("settings reloaded") != std::string::npos; });
+    it.first.release();
+    it.second.release();
+    it.run_until([&] { return stream->end.has_value(); });
+    cr_assert(stream->is_complete());
+    cr_assert_eq(it.readiness_status(), 200);
+}
+
 // Guards against a request that is held for ever by a silent upstream.
 Test(gateway, a_silent_upstream_ends_in_an_unknown_outcome)
 {
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -242,8 +242,13 @@
 {
     if (std::exchange(it.is_busy, true))
         return;
-    switch (below(4))
+    switch (below(5))
     {
+    case 2:
+        note("reload " + it.name);
+        it.process->send_signal(SIGHUP);
+        it.is_busy = false;
+        break;
     case 0:
         note("pause " + it.name);
         pause(it);
