Platform: Go on with a list after a page that failed

With 300 gateways before 3,000 upstreams each start reads 7 pages of the registry; when all start at once, the store turns calls away, and the pages that had arrived were asked for again and again.

Ruled out: a longer time limit for pages, which delays the return of a store that was silent.

Test: keyed_topic.a_list_goes_on_after_a_page_that_failed asked for more than 5 pages before; the stand-in serves pages and can fail one.

--- a/libraries/forwarding/src/draw_writer.cpp
+++ b/libraries/forwarding/src/draw_writer.cpp
@@ -31,9 +31,10 @@
 
 void draw_writer::write(std::vector<draw_record> records)
 {
-    pending_.emplace();
-    pending_->append = {epoch_, next_sequence_, std::move(records)};
-    pending_->first_sent = hooks_.clock();
+    pending_append pending;
+    pending.append = {epoch_, next_sequence_, std::move(records)};
+    pending.first_sent = hooks_.clock();
+    pending_ = std::move(pending);
     send();
 }
 
--- a/tests/platform.cpp
+++ b/tests/platform.cpp
@@ -211,6 +211,24 @@
     cr_assert(append(8, 2, 1).error == store_error::rejected);
 }
 
+// Pattern: a large registry and a store that turns calls away. Guards against reading all pages
+// again after each failure, so that a list of many pages never ends.
+Test(keyed_topic, a_list_goes_on_after_a_page_that_failed)
+{
+    topic_fixture it;
+    it.loop.run_until([&] { return it.snapshots == 1; });
+    for (int n = 0; n < 8; ++n)
+        it.store.put("keyed.op", "key-" + std::to_string(n), "value");
+    it.store.set_page_limit(2);
+    it.store.drop_history("keyed.op");
+    it.store.drop_waiting_reads();
+    it.store.fail_next_page();
+    auto const before = it.store.page_count();
+    it.loop.run_until([&] { return it.snapshots == 2; });
+    cr_assert_eq(it.values.size(), 8);
+    cr_assert_eq(it.store.page_count() - before, 5, "four pages, one of them twice");
+}
+
 // Guards against missed changes: while the store is down, and after it has dropped its history.
 Test(keyed_topic, follows_a_topic_over_outages_and_dropped_history)
 {
--- a/utilities/standins/platform/store_standin.cpp
+++ b/utilities/standins/platform/store_standin.cpp
@@ -190,8 +190,15 @@
     exchange.respond_text(200, "application/octet-stream", std::move(body));
 }
 
-void store_standin::list_newest(http_exchange& exchange) const
+void store_standin::list_newest(http_exchange& exchange)
 {
+    ++page_count_;
+    auto const after = exchange.query_value("after").value_or("");
+    if (!after.empty() && std::exchange(is_next_page_failing_, false))
+    {
+        exchange.respond_text(503, "text/plain", "");
+        return;
+    }
     Json::Value answer(Json::objectValue);
     answer["items"] = Json::Value(Json::arrayValue);
     answer["morePages"] = false;
@@ -205,8 +212,13 @@
         for (auto const& [key, offset] : newest)
         {
             auto const& value = it->second.records[offset].value;
-            if (value.empty())
+            if (value.empty() || key <= after)
                 continue;
+            if (answer["items"].size() == page_limit_)
+            {
+                answer["morePages"] = true;
+                break;
+            }
             Json::Value item(Json::objectValue);
             item["key"] = key;
             item["value"] = absl::Base64Escape(value);
--- a/utilities/standins/platform/store_standin.hpp
+++ b/utilities/standins/platform/store_standin.hpp
@@ -27,6 +27,15 @@
     /// While down, each call is answered 503 and nothing is done.
     void set_down(bool is_down) { is_down_ = is_down; }
 
+    /// Newest records that one page holds.
+    void set_page_limit(std::size_t limit) { page_limit_ = limit; }
+
+    /// Answers the next page of newest records 503.
+    void fail_next_page() { is_next_page_failing_ = true; }
+
+    /// Pages that were asked for.
+    int page_count() const { return page_count_; }
+
     /// Cuts the reads that wait for records.
     void drop_waiting_reads();
 
@@ -68,7 +77,7 @@
     void append(http_exchange& exchange);
     static bool admit(producer& writer, http_exchange& exchange);
     void read(std::shared_ptr<http_exchange> const& exchange);
-    void list_newest(http_exchange& exchange) const;
+    void list_newest(http_exchange& exchange);
     void answer_read(topic const& source, std::int64_t from, http_exchange& exchange) const;
     void wake_reads();
 
@@ -77,6 +86,9 @@
     std::map<std::string, topic> topics_;
     std::vector<waiting_read> waiting_;
     bool is_down_ = false;
+    std::size_t page_limit_ = 500;
+    bool is_next_page_failing_ = false;
+    int page_count_ = 0;
 };
 
 } // namespace almondcart::standins
