Soak: Listen on ports whose connections were closed a moment ago

Both cases were reproduced on one port: bind fails without the option and works with it.

Change: the links set SO_REUSEADDR. No check of the soak changes.

--- a/tests/soak/faulty_link.cpp
+++ b/tests/soak/faulty_link.cpp
@@ -34,6 +34,9 @@
     auto address = socket_address::parse(address_);
     int const fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     constexpr int backlog = 256;
+    // As in find_free_address, whose ports may have connections that were closed a moment ago.
+    int const on = 1;
+    ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     if (!address.ok() || ::bind(fd, address->native(), address->size()) != 0 ||
         ::listen(fd, backlog) != 0)
         throw std::runtime_error("link: cannot listen on " + address_);
