Gateway: Reach the store through relays beside the upstreams

Cause: in a `node_cut`, all entry VMs lose the store for about 8 s but still reach the VMs of the upstreams, which reach the store.

Ruled out: other gateways as the second path (they are cut at the same time); the own interface's agent in that slot (it needs routers and links gate and ledger, and memory on each upstream VM is paid for); more tokens per report (see the issue: it loses where totals are scarce).

Change: almondcart-relay, a small program without state on each engine's VM, passes the calls that gateways make on to the store. `log_path_selector` decides which path a call takes and `store_call` sends copies; appends carry producer, epoch and sequence, so a call on two paths counts once. Relays are found from the registry of upstreams: host of the engine, port of the settings. The standard way back is a probe on a new connection every half second. Responses of the store are bounded in gateway and relay.

Test seen failing: store_relay's append during a cut hangs without relays; `calls_return_to_the_direct_path` failed while a probe was cancelled by the faster relay.

--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 #include <sys/stat.h>
 
 #include <csignal>
+#include <set>
 #include <utility>
 
 #include "forward_session.hpp"
@@ -44,6 +45,25 @@
     return result;
 }
 
+forwarding::log_path_settings store_path_settings(gateway_settings const& settings)
+{
+    forwarding::log_path_settings result;
+    result.availability_zone = settings.availability_zone;
+    result.seed = hash64(settings.name);
+    return result;
+}
+
+forwarding::log_path_selector::hooks create_store_path_hooks(event_loop& loop)
+{
+    forwarding::log_path_selector::hooks hooks;
+    hooks.clock = [&loop] { return loop.now(); };
+    hooks.on_change = [](bool is_direct_up, std::string_view evidence) {
+        spdlog::info(
+            "[store] path={} direct_result={}", is_direct_up ? "direct" : "relay", evidence);
+    };
+    return hooks;
+}
+
 /// Returns hooks that log when the store becomes unavailable or available again. The caller sets
 /// the other hooks.
 platform::topic_follower::hooks topic_hooks(std::string const& part)
@@ -89,7 +109,8 @@
     , settings_file_(std::move(settings_file))
     , settings_modified_ns_(modification_time_ns(settings_file_))
     , client_(loop_)
-    , store_(client_, settings_.store_address)
+    , store_paths_(store_path_settings(settings_), create_store_path_hooks(loop_))
+    , store_(loop_, client_, store_paths_, settings_.store_address)
     , codec_(platform::create_exchange_codec())
     , connections_(loop_)
     , directory_(
@@ -102,6 +123,7 @@
                   it.entry.address,
                   it.entry.is_draining,
                   it.is_gone);
+              are_relays_outdated_ = true;
               if (it.accepts_work())
                   return;
               connections_.close_idle(it.entry.id);
@@ -255,9 +277,29 @@
             it.name,
             it.prepaid_tokens.value_or(-1),
             prepaid_.holder_of(it.name).ledger().claimed(it.name));
+    are_relays_outdated_ = true;
     update_readiness();
 }
 
+void gateway::update_relays()
+{
+    if (settings_.relay_port == 0 || context_.configuration == nullptr ||
+        !std::exchange(are_relays_outdated_, false))
+        return;
+    std::set<forwarding::log_relay> relays;
+    for (auto const& [id, it] : directory_.all())
+    {
+        auto const* service = context_.configuration->find_service(it->entry.service);
+        if (service == nullptr || !service->engine)
+            continue;
+        auto const& address = it->entry.address;
+        auto const host = address.substr(0, address.rfind(':'));
+        relays.insert(
+            {host + ":" + std::to_string(settings_.relay_port), it->entry.availability_zone});
+    }
+    store_paths_.set_relays(relays);
+}
+
 void gateway::follow_upstreams()
 {
     auto hooks = topic_hooks("upstreams");
@@ -309,6 +351,7 @@
 {
     update_readiness();
     flush_stdout_logging();
+    update_relays();
     prepaid_.tick();
     update_link_load();
     connections_.expire();
--- a/services/gateway/gateway.hpp
+++ b/services/gateway/gateway.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <almondcart/forwarding/link_load.hpp>
+#include <almondcart/forwarding/log_path_selector.hpp>
 #include <almondcart/http/http_client.hpp>
 #include <almondcart/http/http_server.hpp>
 #include <almondcart/http1/inbound_server.hpp>
@@ -39,6 +40,7 @@
     void follow_configuration();
     void follow_upstreams();
     void apply_configuration(std::string const& text, std::int64_t offset);
+    void update_relays();
     void handle(std::shared_ptr<http1::inbound_exchange> exchange);
     void serve_readiness(http_exchange& exchange) const;
     void update_readiness();
@@ -54,6 +56,7 @@
     std::int64_t settings_modified_ns_ = 0;
     event_loop loop_;
     http_client client_;
+    forwarding::log_path_selector store_paths_;
     platform::store_client store_;
     forwarding::exchange_codec codec_;
     upstream_connections connections_;
@@ -64,6 +67,7 @@
     prepaid_accounts prepaid_;
     gateway_context context_;
     forwarding::link_load link_;
+    bool are_relays_outdated_ = false;
     std::unique_ptr<platform::topic_follower> configuration_topic_;
     std::unique_ptr<platform::topic_follower> upstream_topic_;
     std::unique_ptr<http_server> readiness_server_;
--- a/services/gateway/gateway_settings.cpp
+++ b/services/gateway/gateway_settings.cpp
@@ -10,6 +10,8 @@
 constexpr double min_grace_s = 1;
 constexpr double max_grace_s = 3600;
 
+constexpr std::int64_t max_port = 65'535;
+
 constexpr double max_link_mbps = 1e6;
 
 /// Kept below the 100 topics that the platform's store supports for all its users.
@@ -31,6 +33,7 @@
     settings.status_listen = read_address(reader, "status_listen");
     settings.peer_listen = read_address(reader, "peer_listen");
     settings.store_address = read_address(reader, "store_address");
+    settings.relay_port = static_cast<int>(reader.integer_or("relay_port", 0, max_port, 0));
     settings.log_level = read_log_level_or(reader, "log_level", settings.log_level);
     settings.shutdown_grace =
         std::chrono::duration_cast<duration>(std::chrono::duration<double>(reader.number_or(
--- a/services/gateway/gateway_settings.hpp
+++ b/services/gateway/gateway_settings.hpp
@@ -19,6 +19,7 @@
     std::string status_listen;    ///< "ip:port" for metrics
     std::string peer_listen;      ///< "ip:port" for other gateways
     std::string store_address;    ///< "ip:port" of the platform's store
+    int relay_port = 0;           ///< of the relays on the VMs of engines; 0: there are none
     std::string log_level = "info";
     duration shutdown_grace{8000};  ///< before the platform kills a stopping process
     std::size_t prepaid_topics = 1; ///< for prepaid draws; the same on all gateways
--- a/services/gateway/prepaid_accounts.cpp
+++ b/services/gateway/prepaid_accounts.cpp
@@ -1,18 +1,12 @@
 #include "prepaid_accounts.hpp"
 
 #include <almondcart/core/hash.hpp>
+#include <almondcart/platform/operator_records.hpp>
 
 #include <algorithm>
 
 namespace almondcart {
 
-namespace {
-
-/// Prefix of the topics with one record for each client account and VM.
-constexpr char const* topic_prefix = "keyed.prepaid-draws-";
-
-} // namespace
-
 prepaid_accounts::prepaid_accounts(
     event_loop& loop,
     platform::store_client& store,
@@ -23,7 +17,12 @@
 {
     for (std::size_t i = 0; i < topic_count; ++i)
         logs_.push_back(std::make_unique<prepaid_log>(
-            loop, store, topic_prefix + std::to_string(i), settings, total, peers));
+            loop,
+            store,
+            platform::prepaid_topic_prefix + std::to_string(i),
+            settings,
+            total,
+            peers));
 }
 
 void prepaid_accounts::start()
--- /dev/null
+++ b/services/relay/main.cpp
@@ -0,0 +1,68 @@
+#include <almondcart/core/logging.hpp>
+#include <almondcart/core/status.hpp>
+
+#include <cxxopts.hpp>
+
+#include <csignal>
+#include <iostream>
+
+#include "relay.hpp"
+
+namespace {
+
+constexpr int exit_invalid_settings = 2;
+
+int report(absl::Status const& status)
+{
+    std::cerr << "almondcart-relay: " << almondcart::message_of(status) << "\n";
+    return exit_invalid_settings;
+}
+
+int run(std::string const& file, bool is_check)
+{
+    auto settings = almondcart::relay_settings::load(file);
+    if (!settings.ok())
+        return report(settings.status());
+    if (is_check)
+    {
+        std::cout << file << ": valid\n";
+        return 0;
+    }
+    if (auto const status = almondcart::set_up_stdout_logging(settings->name, settings->log_level);
+        !status.ok())
+        return report(status);
+    auto const relay = almondcart::relay::create(*std::move(settings));
+    if (!relay.ok())
+        return report(relay.status());
+    (*relay)->run();
+    almondcart::flush_stdout_logging();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    // Ignored until the event loop handles the signal, because there is nothing to reload earlier.
+    std::signal(SIGHUP, SIG_IGN);
+    cxxopts::Options options(
+        "almondcart-relay",
+        "Passes calls of gateways on to the platform's store; see docs/configuration.md.");
+    options.add_options()("settings", "JSON settings file", cxxopts::value<std::string>())(
+        "check", "check the settings file and exit")("help", "print this help");
+    try
+    {
+        auto const parsed = options.parse(argc, argv);
+        if (parsed.count("help") > 0)
+        {
+            std::cout << options.help() << "\nExample: almondcart-relay --settings relay.json\n";
+            return 0;
+        }
+        return run(parsed["settings"].as<std::string>(), parsed.count("check") > 0);
+    }
+    catch (cxxopts::exceptions::exception const& error)
+    {
+        std::cerr << "almondcart-relay: " << error.what() << "\n" << options.help();
+        return exit_invalid_settings;
+    }
+}
--- /dev/null
+++ b/services/relay/relay_settings.hpp
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <absl/status/statusor.h>
+
+#include <string>
+
+namespace almondcart {
+
+/// Settings of a relay process, read from a JSON file. docs/configuration.md lists the members.
+struct relay_settings
+{
+    std::string name;          ///< of the VM
+    std::string listen;        ///< "ip:port" for gateways and metrics
+    std::string store_address; ///< "ip:port" of the platform's store
+    std::string log_level = "info";
+
+    /// Errors have the code `invalid_settings` and name the file, the member and the expected
+    /// value.
+    static absl::StatusOr<relay_settings> load(std::string const& file);
+};
+
+} // namespace almondcart
--- a/tests/platform.cpp
+++ b/tests/platform.cpp
@@ -57,7 +57,8 @@
     event_loop loop;
     standins::store_standin store{loop};
     http_client http{loop};
-    store_client client{http, store.address()};
+    forwarding::log_path_selector paths{{}, {[this] { return loop.now(); }, {}}};
+    store_client client{loop, http, paths, store.address()};
     std::map<std::string, std::string> values;
     int snapshots = 0;
     int disconnects = 0;
@@ -187,7 +188,8 @@
     event_loop loop;
     standins::store_standin store(loop);
     http_client http(loop);
-    store_client client(http, store.address());
+    forwarding::log_path_selector paths({}, {[&] { return loop.now(); }, {}});
+    store_client client(loop, http, paths, store.address());
     std::vector<store_result<std::int64_t>> results;
     auto const append = [&](std::uint64_t epoch, std::uint64_t sequence, int records)
     {
