Budget: Weigh what is left in spending limits, and return tokens early in a stop

A planned stop kept all free tokens until its last stream had ended, and was killed with them at the end of its grace period (302,000 written off, 660,000 given up only then). Each report allowed 10.5 s of demand and one largest request per VM and account, however little was left. In outages in the first seconds of traffic the limit was too low, because the demand estimate counted the time before the first request.

Change: `account_outlook` derives targets and spending limits from demand and what is left of the whole total; the share that may be lost shrinks with what the rest covers. A stopping gateway returns free tokens once it takes no more requests. A refusal logs what could be spent and the demand.

Seen failing: three of the new tests against limits by demand alone and the old estimate; a_stop_gives_tokens_back_while_a_stream_is_open against the old stop.

--- /dev/null
+++ b/libraries/forwarding/include/almondcart/forwarding/account_outlook.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <almondcart/core/instant.hpp>
+#include <almondcart/forwarding/spending_report.hpp>
+
+#include <cstdint>
+
+namespace almondcart::forwarding {
+
+/// What a gateway knows of one prepaid total: the demand for it and what is left. Derives how much
+/// the gateway draws ahead and how much it may spend between two reports.
+struct account_outlook
+{
+    double demand_per_s = 0;             ///< tokens that clients request from this gateway
+    double others_demand_per_s = 0;      ///< tokens that clients request from the others
+    std::int64_t unclaimed_tokens = 0;   ///< of the total
+    std::int64_t free_tokens = 0;        ///< held by this gateway
+    std::int64_t others_free_tokens = 0; ///< claimed by the others and not reported as spent
+    std::int64_t largest_request = 0;    ///< tokens of the largest request so far
+
+    /// Free tokens that the gateway should hold, to serve `horizon` of demand without the log.
+    std::int64_t target_free(duration horizon) const;
+
+    /// Spending allowed after a report with `spent_tokens`. The tokens that it allows are lost to
+    /// all gateways if the process dies before its next report, so what is allowed shrinks with
+    /// what is left of the total.
+    spending_report limit_spending(std::int64_t spent_tokens) const;
+
+private:
+    double all_demand_per_s() const { return demand_per_s + others_demand_per_s; }
+};
+
+} // namespace almondcart::forwarding
--- a/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
@@ -2,6 +2,7 @@
 
 #include <almondcart/core/clock.hpp>
 #include <almondcart/core/random_sequence.hpp>
+#include <almondcart/forwarding/account_outlook.hpp>
 #include <almondcart/forwarding/draw_writer.hpp>
 #include <almondcart/forwarding/prepaid_ledger.hpp>
 #include <almondcart/forwarding/token_account.hpp>
@@ -120,6 +121,12 @@
     bool is_fenced() const { return writer_.is_fenced(); }
 
     std::int64_t free_tokens(std::string const& account) const;
+
+    /// Free tokens that the limit of the last report allows to spend now.
+    std::int64_t spendable_tokens(std::string const& account) const;
+
+    /// Tokens per second that clients request here.
+    std::int64_t demand_per_s(std::string const& account) const;
     prepaid_ledger const& ledger() const { return ledger_; }
 
 private:
@@ -133,7 +140,7 @@
     draw_writer::hooks create_writer_hooks();
     std::int64_t spendable(token_account const& state) const;
     std::int64_t remaining(std::string const& account, token_account const& state) const;
-    std::int64_t target_free(std::string const& account, token_account const& state) const;
+    account_outlook outlook(std::string const& account, token_account const& state) const;
     std::int64_t compute_delta(std::string const& account, token_account const& state) const;
     bool is_report_due(token_account const& state) const;
     bool is_log_stalled() const;
--- a/libraries/forwarding/include/almondcart/forwarding/prepaid_ledger.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/prepaid_ledger.hpp
@@ -33,13 +33,32 @@
     /// Marks all records before `end` as known.
     void advance(std::int64_t end);
 
-    /// Tokens claimed by all owners of an account.
-    std::int64_t claimed(std::string_view account) const;
-    std::int64_t claimed_by(draw_owner const& owner) const;
+    /// Sums over newest records.
+    struct totals
+    {
+        std::int64_t claimed_tokens = 0;
+        std::int64_t spent_tokens = 0;
+        std::int64_t demand_per_s = 0;
+
+        friend totals operator+(totals const& left, totals const& right);
+        friend totals operator-(totals const& left, totals const& right);
+    };
+
+    /// Sums over all owners of an account.
+    totals totals_of(std::string_view account) const;
+
+    /// Newest record of one owner, or zeros if there is none.
+    totals totals_by(draw_owner const& owner) const;
 
-    /// Demand last reported by all owners of an account, in tokens per second.
-    std::int64_t demand(std::string_view account) const;
-    std::int64_t demand_of(draw_owner const& owner) const;
+    /// Tokens claimed by all owners of an account.
+    std::int64_t claimed(std::string_view account) const
+    {
+        return totals_of(account).claimed_tokens;
+    }
+    std::int64_t claimed_by(draw_owner const& owner) const
+    {
+        return totals_by(owner).claimed_tokens;
+    }
 
     /// Number of VMs with a newest record that reports demand.
     std::size_t active_vm_count() const;
@@ -53,12 +72,6 @@
     bool is_consistent() const { return newest_offset_ < end_; }
 
 private:
-    struct totals
-    {
-        std::int64_t claimed_tokens = 0;
-        std::int64_t demand_per_s = 0;
-    };
-
     std::int64_t end_ = 0;
     std::int64_t newest_offset_ = -1;
     std::map<draw_owner, entry> by_owner_;
--- a/libraries/forwarding/src/prepaid_holder.cpp
+++ b/libraries/forwarding/src/prepaid_holder.cpp
@@ -11,26 +11,9 @@
 
 constexpr double milliseconds_per_second = 1000;
 
-/// Share of the remaining total that gateways may draw ahead. Each gateway counts its own free
-/// tokens as remaining, so together they hold about half of it. If the rest covers less than the
-/// horizon, the share shrinks with it, because the tokens held by a failed gateway would be a
-/// larger part of what is left.
-constexpr double prefetch_share = 0.8;
-constexpr double min_prefetch_share = 0.2;
-
 /// Share of the target below which a gateway draws even if no request waits.
 constexpr double low_watermark = 0.85;
 
-/// Spending that a report allows beyond the reported total: `slack_demand_s` seconds of demand at
-/// once, and then the estimated rate times `rate_headroom_factor`. With this margin, only a burst
-/// while the log is unavailable reaches the limit.
-constexpr double slack_demand_s = 0.5;
-constexpr double rate_headroom_factor = 1.3;
-
-/// Seconds of demand that may be spent after a report, which covers an outage of about that length.
-/// If the process dies, tokens held beyond that are not lost.
-constexpr double outage_demand_s = 10.5;
-
 } // namespace
 
 std::string_view name_of(reservation_result result)
@@ -145,6 +128,18 @@
     return it == accounts_.end() ? 0 : it->second.free_tokens();
 }
 
+std::int64_t prepaid_holder::spendable_tokens(std::string const& account) const
+{
+    auto const it = accounts_.find(account);
+    return it == accounts_.end() ? 0 : spendable(it->second);
+}
+
+std::int64_t prepaid_holder::demand_per_s(std::string const& account) const
+{
+    auto const it = accounts_.find(account);
+    return it == accounts_.end() ? 0 : static_cast<std::int64_t>(it->second.demand.per_s());
+}
+
 std::int64_t prepaid_holder::spendable(token_account const& state) const
 {
     return writer_.is_fenced() ? 0 : state.spendable(hooks_.clock());
@@ -175,22 +170,21 @@
     return std::max(settings_.report_interval, writer_.append_time() * log_share_divisor * writers);
 }
 
-std::int64_t
-prepaid_holder::target_free(std::string const& account, token_account const& state) const
+account_outlook
+prepaid_holder::outlook(std::string const& account, token_account const& state) const
 {
-    double const demand = state.demand.per_s();
-    if (is_stopping_ || demand <= 0)
-        return 0;
-    double const horizon_s =
-        static_cast<double>(settings_.horizon.count()) / milliseconds_per_second;
-    auto const others = ledger_.demand(account) - ledger_.demand_of({account, settings_.vm});
-    // Includes this process's own free tokens, so that the target does not depend on its own draws.
-    double const left = static_cast<double>(remaining(account, state) + state.free_tokens());
-    double const all_demand = demand + static_cast<double>(std::max<std::int64_t>(0, others));
-    double const covered_s = left / all_demand;
-    double const share =
-        std::clamp(prefetch_share * covered_s / horizon_s, min_prefetch_share, prefetch_share);
-    return static_cast<std::int64_t>(std::min(demand * horizon_s, share * covered_s * demand));
+    draw_owner const owner{account, settings_.vm};
+    auto const others = ledger_.totals_of(account) - ledger_.totals_by(owner);
+    account_outlook result;
+    result.demand_per_s = is_stopping_ ? 0 : state.demand.per_s();
+    result.others_demand_per_s =
+        static_cast<double>(std::max<std::int64_t>(0, others.demand_per_s));
+    result.unclaimed_tokens = remaining(account, state);
+    result.free_tokens = state.free_tokens();
+    result.others_free_tokens =
+        std::max<std::int64_t>(0, others.claimed_tokens - others.spent_tokens);
+    result.largest_request = state.largest_request;
+    return result;
 }
 
 std::int64_t
@@ -204,7 +198,7 @@
         if (needed + it.tokens - free <= left)
             needed += it.tokens;
     }
-    auto const target = target_free(account, state);
+    auto const target = outlook(account, state).target_free(settings_.horizon);
     auto const watermark = static_cast<std::int64_t>(low_watermark * static_cast<double>(target));
     bool const is_low = free < needed || (is_report_time_ && free < needed + watermark);
     if (is_low)
@@ -349,13 +343,8 @@
             waiting += it.tokens;
     }
     // The spent tokens are negative if more were transferred in than spent.
-    record.spending.spent_tokens = std::max<std::int64_t>(0, state.spent_tokens() + waiting);
-    auto const slack = static_cast<std::int64_t>(state.demand.per_s() * slack_demand_s);
-    record.spending.slack_tokens = std::max(slack, state.largest_request);
-    record.spending.most_tokens = record.spending.slack_tokens +
-                                  static_cast<std::int64_t>(state.demand.per_s() * outage_demand_s);
-    record.spending.rate_per_s =
-        static_cast<std::int64_t>(state.demand.per_s() * rate_headroom_factor);
+    auto const spent = std::max<std::int64_t>(0, state.spent_tokens() + waiting);
+    record.spending = outlook(account, state).limit_spending(spent);
     return record;
 }
 
--- a/libraries/forwarding/src/prepaid_ledger.cpp
+++ b/libraries/forwarding/src/prepaid_ledger.cpp
@@ -5,6 +5,33 @@
 
 namespace almondcart::forwarding {
 
+namespace {
+
+prepaid_ledger::totals totals_in(draw_record const& record)
+{
+    return {record.claimed_tokens, record.spending.spent_tokens, record.demand_per_s};
+}
+
+} // namespace
+
+prepaid_ledger::totals
+operator+(prepaid_ledger::totals const& left, prepaid_ledger::totals const& right)
+{
+    return {
+        left.claimed_tokens + right.claimed_tokens,
+        left.spent_tokens + right.spent_tokens,
+        left.demand_per_s + right.demand_per_s};
+}
+
+prepaid_ledger::totals
+operator-(prepaid_ledger::totals const& left, prepaid_ledger::totals const& right)
+{
+    return {
+        left.claimed_tokens - right.claimed_tokens,
+        left.spent_tokens - right.spent_tokens,
+        left.demand_per_s - right.demand_per_s};
+}
+
 void prepaid_ledger::apply(std::int64_t offset, draw_record const& record)
 {
     skip(offset);
@@ -12,8 +39,7 @@
     if (offset <= owner.offset)
         return;
     auto& account = by_account_[record.owner.account];
-    account.claimed_tokens += record.claimed_tokens - owner.record.claimed_tokens;
-    account.demand_per_s += record.demand_per_s - owner.record.demand_per_s;
+    account = account + totals_in(record) - totals_in(owner.record);
     owner = {record, offset};
     newest_offset_ = std::max(newest_offset_, offset);
 }
@@ -29,28 +55,16 @@
     end_ = std::max(end_, end);
 }
 
-std::int64_t prepaid_ledger::claimed(std::string_view account) const
-{
-    auto const it = by_account_.find(account);
-    return it == by_account_.end() ? 0 : it->second.claimed_tokens;
-}
-
-std::int64_t prepaid_ledger::claimed_by(draw_owner const& owner) const
-{
-    auto const it = by_owner_.find(owner);
-    return it == by_owner_.end() ? 0 : it->second.record.claimed_tokens;
-}
-
-std::int64_t prepaid_ledger::demand(std::string_view account) const
+prepaid_ledger::totals prepaid_ledger::totals_of(std::string_view account) const
 {
     auto const it = by_account_.find(account);
-    return it == by_account_.end() ? 0 : it->second.demand_per_s;
+    return it == by_account_.end() ? totals{} : it->second;
 }
 
-std::int64_t prepaid_ledger::demand_of(draw_owner const& owner) const
+prepaid_ledger::totals prepaid_ledger::totals_by(draw_owner const& owner) const
 {
     auto const it = by_owner_.find(owner);
-    return it == by_owner_.end() ? 0 : it->second.record.demand_per_s;
+    return it == by_owner_.end() ? totals{} : totals_in(it->second.record);
 }
 
 std::size_t prepaid_ledger::active_vm_count() const
--- a/services/gateway/forward_session.cpp
+++ b/services/gateway/forward_session.cpp
@@ -189,14 +189,16 @@
 
 std::string forward_session::describe_prepaid_state(std::int64_t needed) const
 {
-    auto const& ledger = context_.prepaid.holder_of(account_->name).ledger();
+    auto const& holder = context_.prepaid.holder_of(account_->name);
     return fmt::format(
-        "needs={} holds={} total={} claimed={} log_offset={}",
+        "needs={} holds={} spendable={} demand_per_s={} total={} claimed={} log_offset={}",
         needed,
-        context_.prepaid.holder_of(account_->name).free_tokens(account_->name),
+        holder.free_tokens(account_->name),
+        holder.spendable_tokens(account_->name),
+        holder.demand_per_s(account_->name),
         *account_->prepaid_tokens,
-        ledger.claimed(account_->name),
-        ledger.end());
+        holder.ledger().claimed(account_->name),
+        holder.ledger().end());
 }
 
 void forward_session::attempt()
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -413,9 +413,9 @@
     if (now - context_.stop_time < drain_time)
         return;
     server_->close_idle();
+    // Requests in progress have their reservations; the rest is for other gateways.
+    prepaid_.begin_shutdown();
     bool const is_idle = server_->exchange_count() == 0;
-    if (is_idle)
-        prepaid_.begin_shutdown();
     bool const is_settled = is_idle && !prepaid_.is_busy();
     if (!is_settled && now < context_.stop_deadline())
         return;
--- /dev/null
+++ b/tests/account_outlook.cpp
@@ -0,0 +1,133 @@
+#include <almondcart/forwarding/account_outlook.hpp>
+#include <almondcart/forwarding/token_demand.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace almondcart;
+using namespace almondcart::forwarding;
+
+namespace {
+
+/// One of four gateways with equal demand. `covered_s` seconds of all demand are left.
+account_outlook one_of_four(double covered_s)
+{
+    account_outlook it;
+    it.demand_per_s = 20'000;
+    it.others_demand_per_s = 60'000;
+    auto const left = static_cast<std::int64_t>(covered_s * 80'000);
+    it.unclaimed_tokens = left / 2;
+    it.free_tokens = left / 8;
+    it.others_free_tokens = left - it.unclaimed_tokens - it.free_tokens;
+    it.largest_request = 12'000;
+    return it;
+}
+
+/// Tokens that a report of `it` allows to spend by `elapsed` after it.
+std::int64_t allowed(account_outlook const& it, duration elapsed)
+{
+    return it.limit_spending(1'000).limit_after(elapsed) - 1'000;
+}
+
+} // namespace
+
+// A long prompt arrives in a log outage while the total is hardly used. Guards against a limit that
+// follows the average size of requests.
+Test(account_outlook, a_long_prompt_is_allowed_in_an_outage_while_much_is_left)
+{
+    auto it = one_of_four(300);
+    it.demand_per_s = 1'000;
+    it.largest_request = 15'000;
+    cr_assert_geq(allowed(it, duration(0)), 15'000);
+}
+
+// Guards against refusing requests in an outage of ten seconds while most of a total is left.
+Test(account_outlook, an_outage_is_covered_while_much_is_left)
+{
+    cr_assert_geq(allowed(one_of_four(60), duration(10'000)), 10 * 20'000);
+}
+
+// All gateways die in an outage near the end of a total. Guards against losing most of what is left
+// because each of them may have spent its share.
+Test(account_outlook, an_outage_near_the_end_of_a_total_may_lose_only_part_of_it)
+{
+    for (double const covered_s : {1.0, 5.0, 10.0, 20.0, 40.0})
+    {
+        auto const it = one_of_four(covered_s);
+        auto const lost = 4 * allowed(it, duration(60'000));
+        cr_assert_leq(lost, static_cast<std::int64_t>(covered_s * 80'000 * 0.3), "%f", covered_s);
+    }
+}
+
+// All gateways are killed at once and start again at once. Guards against many gateways that each
+// may have spent a large request: together they would lose more than is left.
+Test(account_outlook, gateways_that_are_killed_at_once_lose_little_of_the_rest)
+{
+    account_outlook it;
+    it.demand_per_s = 500;
+    it.others_demand_per_s = 99 * 500;
+    it.unclaimed_tokens = 1'000'000;
+    it.largest_request = 15'000;
+    cr_assert_leq(100 * allowed(it, duration(0)), 1'000'000 / 10);
+}
+
+// Guards against a limit that allows less and less after each report without spending.
+Test(account_outlook, the_limit_does_not_depend_on_who_holds_the_rest)
+{
+    auto const spread = one_of_four(10);
+    auto claimed = spread;
+    claimed.others_free_tokens += claimed.unclaimed_tokens;
+    claimed.unclaimed_tokens = 0;
+    cr_assert_eq(allowed(spread, duration(5'000)), allowed(claimed, duration(5'000)));
+}
+
+// Guards against overdrawing when the total is topped down below what is claimed.
+Test(account_outlook, nothing_is_allowed_beyond_what_was_spent_when_nothing_is_left)
+{
+    auto it = one_of_four(0);
+    cr_assert_eq(allowed(it, duration(60'000)), 0);
+    cr_assert_eq(it.target_free(duration(15'000)), 0);
+    it.free_tokens = -5'000;
+    cr_assert_eq(allowed(it, duration(60'000)), 0);
+}
+
+// Guards against taking the quiet time before the first request for a low demand: after two seconds
+// of steady traffic the estimate has reached it, so that an outage then does not find low limits.
+Test(token_demand, a_new_demand_is_known_within_two_seconds)
+{
+    token_demand it;
+    instant now{duration(100'000)};
+    it.update(now);
+    for (int n = 0; n < 20; ++n)
+    {
+        it.add(1'000);
+        it.update(now);
+        now = now + duration(100);
+    }
+    it.update(now);
+    cr_assert_geq(it.per_s(), 9'500);
+    cr_assert_leq(it.per_s(), 10'500);
+}
+
+// Guards against an estimate that extrapolates a single request.
+Test(token_demand, one_request_is_not_taken_for_a_steady_demand)
+{
+    token_demand it;
+    instant now{duration(100'000)};
+    it.add(10'000);
+    it.update(now);
+    it.update(now + duration(50));
+    cr_assert_leq(it.per_s(), 10'000);
+    it.update(now + duration(5'000));
+    cr_assert_leq(it.per_s(), 2'500);
+}
+
+// Guards against correcting an estimate that a predecessor has made over a longer time.
+Test(token_demand, an_estimate_that_was_taken_over_is_kept)
+{
+    token_demand it;
+    instant const now{duration(100'000)};
+    it.start(5'000, now);
+    cr_assert_eq(static_cast<int>(it.per_s()), 5'000);
+    it.update(now + duration(10));
+    cr_assert_leq(it.per_s(), 5'000);
+}
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -88,7 +88,7 @@
             route["hostname"] = "club.example";
             route["pathPrefix"] = path;
             route["kind"] = kind;
-            route["timeoutMs"] = 2000;
+            route["timeoutMs"] = route_timeout_ms;
             route["backend"] = "models";
             route["attempts"] = limit;
             route["streamResume"] = is_resumable;
@@ -213,6 +213,7 @@
             ask("/safe/", "earn-" + std::to_string(n));
     }
 
+    int route_timeout_ms = 2000; ///< of the configurations published from now on
     std::vector<std::shared_ptr<http1::outbound_connection>> connections;
     std::optional<child_process> gateway;
 };
@@ -453,6 +454,39 @@
     cr_assert_eq(it.gateway->wait(), 0);
 }
 
+// A stream outlasts the time for which a stopping gateway takes requests. Guards against tokens
+// that are returned only after the stream, or never if it outlasts the grace period.
+Test(gateway, a_stop_gives_tokens_back_while_a_stream_is_open)
+{
+    gateway_fixture it;
+    it.route_timeout_ms = 7000;
+    it.start_serving();
+    for (auto* upstream : {&it.first, &it.second})
+    {
+        upstream->set_mode(upstream_mode::stream);
+        upstream->set_streams_paused(true);
+    }
+    auto headers = headers_with_tokens("r-1", 100, 24);
+    std::erase_if(headers, [](auto const& it) { return it.first == "X-Almondcart-Deadline-Ms"; });
+    headers.emplace_back("X-Almondcart-Deadline-Ms", "7000");
+    auto const stream = it.send(it.listen, "POST", "/stream/x", headers);
+    it.run_until([&] { return stream->body.find("id: 1") != std::string::npos; });
+    auto const unspent = [&]
+    {
+        auto const record = *parse_json(*it.store.newest("keyed.prepaid-draws-0", "club/entry-1"));
+        return record["claimed_tokens"].asInt64() - record["spent_tokens"].asInt64();
+    };
+    for (int n = 0; unspent() < 100; ++n)
+        it.ask("/safe/x", headers_with_tokens("s-" + std::to_string(n), 100, 24));
+    it.gateway->send_signal(SIGTERM);
+    it.run_until([&] { return unspent() == 0; });
+    cr_assert_not(stream->end.has_value());
+    it.first.release();
+    it.second.release();
+    it.run_until([&] { return stream->end.has_value(); });
+    cr_assert(stream->is_complete());
+}
+
 // Guards against a process that exits on a reload signal.
 Test(gateway, a_reload_signal_cuts_no_request)
 {
--- a/tests/prepaid.cpp
+++ b/tests/prepaid.cpp
@@ -149,6 +149,33 @@
     cr_assert_eq(holder.free_tokens("club"), 0);
 }
 
+// A gateway is stopped while a stream is still open, and is killed at the end of its grace period.
+// Guards against charging its successor for more than that stream.
+Test(prepaid, a_stopped_gateway_keeps_only_what_its_open_requests_may_use)
+{
+    prepaid_fleet fleet(2, 4'000'000);
+    fleet.run(duration(10'000), 20'000, 2'000);
+    auto const charged = fleet.charged(0);
+    fleet.holder(0).reserve(prepaid_fleet::account, 3'000, duration(300), [](auto) {});
+    fleet.holder(0).begin_shutdown();
+    fleet.run_one(1, duration(2'000), 20'000, 2'000);
+    cr_assert_eq(fleet.holder(0).free_tokens(prepaid_fleet::account), 0);
+    fleet.start(0);
+    fleet.advance(duration(10));
+    cr_assert_eq(fleet.charged(0) - charged, 3'000);
+}
+
+// Guards against refusing what arrives at a stopping gateway on an open connection.
+Test(prepaid, a_stopping_gateway_still_draws_for_requests)
+{
+    prepaid_fleet fleet(2, 4'000'000);
+    fleet.run(duration(5'000), 20'000, 2'000);
+    fleet.holder(0).begin_shutdown();
+    fleet.run(duration(2'000), 20'000, 2'000);
+    cr_assert_eq(fleet.count(reservation_result::unavailable), 0);
+    cr_assert_eq(fleet.count(reservation_result::exhausted), 0);
+}
+
 // Guards against spending tokens again that a predecessor spent during a log outage.
 Test(prepaid, what_was_spent_while_the_log_was_lost_is_not_taken_over)
 {
