Gateway: Hold control signals during the start; soak: kill and pause relays

Cause: a SIGHUP or SIGTERM that arrived before the event loop watched signals ended the process, or (SIGHUP in the gateway) was ignored. Router and agent were ended by any SIGHUP.

Change: each service blocks the signals first thing in main; the loop reads them once it watches. What is left is the time before main, where SIGHUP ends a process that has done nothing yet; the soak, like the platform, starts it again and counts any other end of a process by itself as a violation. The soak runs a relay beside the upstreams and kills or pauses it on a random sequence of its own, so that a seed keeps its other faults.

Seen failing: signals_during_the_start_are_handled_after_it against the main of before (the process ended with a signal).

--- a/libraries/http/include/almondcart/http/event_loop.hpp
+++ b/libraries/http/include/almondcart/http/event_loop.hpp
@@ -15,6 +15,10 @@
 
 namespace almondcart {
 
+/// Holds signals that stop or reload the process until an event loop watches them. Called first in
+/// `main`, so that a signal during the start neither ends the process nor is lost.
+void hold_control_signals();
+
 /// Single-threaded event loop of a process. Timers use CLOCK_BOOTTIME, unlike h2o's own timeouts,
 /// which follow the wall clock and expire early or late when it is set.
 ///
--- a/libraries/http/src/event_loop.cpp
+++ b/libraries/http/src/event_loop.cpp
@@ -27,8 +27,22 @@
     callback();
 }
 
+void block_signals(std::initializer_list<int> numbers, sigset_t& signals)
+{
+    sigemptyset(&signals);
+    for (int const it : numbers)
+        sigaddset(&signals, it);
+    sigprocmask(SIG_BLOCK, &signals, nullptr);
+}
+
 } // namespace
 
+void hold_control_signals()
+{
+    sigset_t signals;
+    block_signals({SIGTERM, SIGINT, SIGHUP}, signals);
+}
+
 event_loop::event_loop()
     : loop_(h2o_evloop_create())
 {
@@ -158,10 +172,7 @@
     std::function<void()> const& callback)
 {
     sigset_t signals;
-    sigemptyset(&signals);
-    for (int const it : numbers)
-        sigaddset(&signals, it);
-    sigprocmask(SIG_BLOCK, &signals, nullptr);
+    block_signals(numbers, signals);
     int const fd = signalfd(-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
     watch(
         fd,
--- a/services/agent/main.cpp
+++ b/services/agent/main.cpp
@@ -1,4 +1,5 @@
 #include <almondcart/core/logging.hpp>
+#include <almondcart/http/event_loop.hpp>
 
 #include <cxxopts.hpp>
 
@@ -37,6 +38,7 @@
 
 int main(int argc, char** argv)
 {
+    almondcart::hold_control_signals();
     cxxopts::Options options("almondcart-agent", "Admission gate beside one upstream");
     options.add_options()("settings", "JSON settings file", cxxopts::value<std::string>())(
         "help", "print this help");
--- a/services/gateway/main.cpp
+++ b/services/gateway/main.cpp
@@ -1,9 +1,9 @@
 #include <almondcart/core/logging.hpp>
 #include <almondcart/core/status.hpp>
+#include <almondcart/http/event_loop.hpp>
 
 #include <cxxopts.hpp>
 
-#include <csignal>
 #include <iostream>
 
 #include "gateway.hpp"
@@ -23,8 +23,6 @@
     auto settings = almondcart::gateway_settings::load(file);
     if (!settings.ok())
         return report(settings.status());
-    // Ignored until the event loop handles the signal, because there is nothing to reload earlier.
-    std::signal(SIGHUP, SIG_IGN);
     if (is_check)
     {
         std::cout << file << ": valid\n";
@@ -45,6 +43,7 @@
 
 int main(int argc, char** argv)
 {
+    almondcart::hold_control_signals();
     cxxopts::Options options(
         "almondcart-gateway",
         "Forwards client requests to upstreams within prepaid token budgets; see "
--- a/services/relay/main.cpp
+++ b/services/relay/main.cpp
@@ -1,9 +1,9 @@
 #include <almondcart/core/logging.hpp>
 #include <almondcart/core/status.hpp>
+#include <almondcart/http/event_loop.hpp>
 
 #include <cxxopts.hpp>
 
-#include <csignal>
 #include <iostream>
 
 #include "relay.hpp"
@@ -43,8 +43,7 @@
 
 int main(int argc, char** argv)
 {
-    // Ignored until the event loop handles the signal, because there is nothing to reload earlier.
-    std::signal(SIGHUP, SIG_IGN);
+    almondcart::hold_control_signals();
     cxxopts::Options options(
         "almondcart-relay",
         "Passes calls of gateways on to the platform's store; see docs/configuration.md.");
--- a/services/router/main.cpp
+++ b/services/router/main.cpp
@@ -1,5 +1,6 @@
 #include <almondcart/core/logging.hpp>
 #include <almondcart/core/status.hpp>
+#include <almondcart/http/event_loop.hpp>
 
 #include <cxxopts.hpp>
 
@@ -22,6 +23,7 @@
 
 int main(int argc, char** argv)
 {
+    almondcart::hold_control_signals();
     cxxopts::Options options(
         "almondcart-router", "Serves clients on prepaid token budgets; see docs/configuration.md.");
     options.add_options()("settings", "JSON settings file", cxxopts::value<std::string>())(
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -2,8 +2,11 @@
 #include <almondcart/http1/outbound_connection.hpp>
 
 #include <criterion/criterion.h>
+#include <fcntl.h>
 #include <platform/store_standin.hpp>
 #include <platform/upstream_standin.hpp>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <fstream>
@@ -125,6 +128,11 @@
         return {std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
     }
 
+    void wait_for_output(std::string const& text)
+    {
+        loop.run_until([&] { return output().find(text) != std::string::npos; });
+    }
+
     /// Sends a request without waiting for the response.
     std::shared_ptr<client_response> send(
         std::string const& address,
@@ -487,6 +495,40 @@
     cr_assert(stream->is_complete());
 }
 
+// Signals arrive while the process reads its settings. Guards against a process that they end, and
+// against a stop that is forgotten.
+Test(gateway, signals_during_the_start_are_handled_after_it)
+{
+    gateway_fixture it;
+    it.wait_for_output("[gateway] started");
+    std::ifstream file(it.settings_file);
+    std::string const settings{std::istreambuf_iterator<char>(file), {}};
+    // The process reads its settings from a pipe, so that the start lasts until they are written.
+    it.gateway.reset();
+    std::remove(it.settings_file.c_str());
+    cr_assert_eq(mkfifo(it.settings_file.c_str(), 0600), 0);
+    it.start();
+    int pipe = -1;
+    it.run_until(
+        [&]
+        {
+            pipe = open(it.settings_file.c_str(), O_WRONLY | O_NONBLOCK);
+            return pipe >= 0;
+        });
+    // The reload reads a plain file again.
+    std::remove(it.settings_file.c_str());
+    it.write_settings();
+    it.gateway->send_signal(SIGHUP);
+    it.gateway->send_signal(SIGTERM);
+    cr_assert_eq(write(pipe, settings.data(), settings.size()), std::ssize(settings));
+    close(pipe);
+    std::optional<int> result;
+    it.run_until([&] { return (result = it.gateway->try_wait()).has_value(); });
+    cr_assert_eq(*result, 0);
+    cr_assert_neq(it.output().find("[gateway] settings reloaded"), std::string::npos);
+    cr_assert_neq(it.output().find("[gateway] stopped"), std::string::npos);
+}
+
 // Guards against a process that exits on a reload signal.
 Test(gateway, a_reload_signal_cuts_no_request)
 {
--- a/tests/soak/invariant_checker.cpp
+++ b/tests/soak/invariant_checker.cpp
@@ -53,6 +53,12 @@
     return paths.at(static_cast<std::size_t>(kind));
 }
 
+void invariant_checker::record_exit(std::string const& gateway, int result)
+{
+    violations_.push_back(
+        "gateway " + gateway + ": ended by itself with " + std::to_string(result));
+}
+
 void invariant_checker::add_violation(std::string const& id, std::string const& what)
 {
     violations_.push_back("request " + id + ": " + what);
--- a/tests/soak/invariant_checker.hpp
+++ b/tests/soak/invariant_checker.hpp
@@ -43,6 +43,9 @@
     /// Raises the prepaid total of the account.
     void set_total_tokens(std::int64_t tokens) { total_tokens_ = std::max(total_tokens_, tokens); }
 
+    /// A gateway has ended by itself. `result` is its exit code, or the negated signal number.
+    void record_exit(std::string const& gateway, int result);
+
     void record_request(call const& sent);
     void record_response(call const& ended);
 
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -1,5 +1,6 @@
 #include "soak_fleet.hpp"
 
+#include <almondcart/core/hash.hpp>
 #include <almondcart/core/json.hpp>
 
 #include <csignal>
@@ -30,7 +31,10 @@
 soak_fleet::soak_fleet(soak_settings settings)
     : settings_(std::move(settings))
     , random_(settings_.seed * 2 + 1)
+    , relay_random_(hash64("relay", settings_.seed))
+    , relay_address_(test_support::find_free_address())
 {
+    start_relay();
     for (int i = 0; i < settings_.upstreams; ++i)
     {
         upstream it;
@@ -79,6 +83,7 @@
     settings["peer_listen"] = it.peers;
     settings["store_address"] = it.store->address();
     settings["prepaid_topics"] = 2;
+    settings["relay_port"] = socket_address::parse(relay_address_)->port();
     auto const file = file_path(it, ".json");
     std::ofstream(file) << to_compact_json(settings);
     it.process.emplace(
@@ -88,6 +93,39 @@
     it.is_busy = false;
 }
 
+void soak_fleet::start_relay()
+{
+    Json::Value settings(Json::objectValue);
+    settings["name"] = "relay";
+    settings["listen"] = relay_address_;
+    settings["store_address"] = store_.address();
+    auto const file =
+        settings_.log_directory + "/almondcart-soak-" + std::to_string(settings_.seed) + "-relay";
+    std::ofstream(file + ".json") << to_compact_json(settings);
+    relay_.emplace(
+        std::vector<std::string>{
+            ALMONDCART_BINARY_DIRECTORY "/services/almondcart-relay", "--settings", file + ".json"},
+        file + ".log");
+}
+
+void soak_fleet::restart_reloaded()
+{
+    for (auto const& it : gateways_)
+    {
+        if (it->is_busy)
+            continue;
+        auto const result = it->process->try_wait();
+        // A reload signal ends a process that has not reached `main`; the platform starts it again.
+        if (result == -SIGHUP)
+            start(*it);
+        else if (result)
+        {
+            checker_.record_exit(it->name, *result);
+            start(*it);
+        }
+    }
+}
+
 void soak_fleet::configure(std::int64_t prepaid)
 {
     prepaid_ = prepaid;
@@ -264,6 +302,28 @@
     }
 }
 
+void soak_fleet::inject_relay_fault()
+{
+    if (!are_faults_active_)
+        return;
+    auto const end = relay_random_.between(min_fault_time, max_fault_time);
+    if (relay_random_.next() % 2 == 0)
+    {
+        log_fault("kill relay");
+        relay_.reset();
+        loop_.after(end, [this] { start_relay(); });
+    }
+    else
+    {
+        log_fault("pause relay");
+        relay_->send_signal(SIGSTOP);
+        loop_.after(end, [this] { relay_->send_signal(SIGCONT); });
+    }
+    loop_.after(
+        end + relay_random_.between(min_fault_time, max_fault_time),
+        [this] { inject_relay_fault(); });
+}
+
 void soak_fleet::inject_link_fault(faulty_link& link, std::string const& name)
 {
     auto const fault = static_cast<link_fault>(1 + random_below(5));
@@ -380,6 +440,8 @@
     for (std::size_t i = 0; i < clients_.size(); ++i)
         send_next(i);
     loop_.after(duration(1'000), [this] { inject_fault(); });
+    loop_.after(duration(2'000), [this] { inject_relay_fault(); });
+    loop_.every(duration(100), [this] { restart_reloaded(); });
     bool is_time_up = false;
     loop_.after(settings_.time, [&] { is_time_up = true; });
     loop_.run_until([&] { return is_time_up; });
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -29,7 +29,8 @@
     std::string log_directory = "/tmp";
 };
 
-/// Gateway processes between clients, upstreams and a store, with a faulty link on each path.
+/// Gateway processes between clients, upstreams and a store, with a faulty link on each path, and a
+/// relay process beside the upstreams.
 /// Injects a series of random faults, which may overlap and depend on the seed.
 class soak_fleet
 {
@@ -75,6 +76,8 @@
 
     std::string file_path(gateway const& it, std::string_view suffix) const;
     void start(gateway& it);
+    void start_relay();
+    void restart_reloaded();
     void configure(std::int64_t prepaid);
     void register_upstream(upstream const& it, std::string const& state);
 
@@ -88,6 +91,7 @@
     void kill(gateway& it);
     void pause(gateway& it);
     void stop(gateway& it);
+    void inject_relay_fault();
     void inject_link_fault(faulty_link& link, std::string const& name);
     void inject_store_fault();
     void inject_upstream_fault(upstream& it);
@@ -98,10 +102,13 @@
 
     soak_settings settings_;
     random_sequence random_;
+    random_sequence relay_random_; ///< separate, so that a seed keeps its faults of the gateways
     event_loop loop_;
     standins::store_standin store_{loop_};
     invariant_checker checker_;
     std::vector<std::unique_ptr<gateway>> gateways_;
+    std::string relay_address_;
+    std::optional<test_support::child_process> relay_;
     std::vector<upstream> upstreams_;
     std::vector<client> clients_;
     std::vector<bool> served_; ///< by gateway, since fault injection stopped
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -60,9 +60,23 @@
 }
 
 int child_process::wait()
+{
+    std::optional<int> result;
+    wait_until(
+        "a process ends",
+        [&]
+        {
+            result = try_wait();
+            return result.has_value();
+        });
+    return *result;
+}
+
+std::optional<int> child_process::try_wait()
 {
     int state = 0;
-    wait_until("a process ends", [&] { return ::waitpid(id_, &state, WNOHANG) == id_; });
+    if (id_ < 0 || ::waitpid(id_, &state, WNOHANG) != id_)
+        return std::nullopt;
     id_ = -1;
     return WIFEXITED(state) ? WEXITSTATUS(state) : -WTERMSIG(state);
 }
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,9 @@
     /// that ended it.
     int wait();
 
+    /// As `wait`, but returns nothing at once if the process is still running.
+    std::optional<int> try_wait();
+
 private:
     pid_t id_ = -1;
 };
