Gateway: Bound what an upstream may send as one response

Cause: an upstream in trouble may send bytes without end. The gateway kept a plain or failed response, and an event that never ended, in memory without a bound until the deadline. `outbound_connection` skipped interim responses, and responses to other requests, without a limit, and recursed once for each head in a read.

Change: `response_limit_bytes` (1 MiB) bounds a response that is not streamed and a single event; beyond it the connection is closed, the attempt counts as lost, and the client is told that the outcome is unknown. An exchange skips at most seven responses that are not its own.

Seen failing: gives_up_on_interim_responses_without_end did not end within its 40 s against the old connection. The gateway test guards the new bound; it was not run against the old gateway.

--- a/libraries/http1/src/outbound_connection.cpp
+++ b/libraries/http1/src/outbound_connection.cpp
@@ -13,6 +13,9 @@
 
 constexpr int first_final_status = 200;
 
+/// Interim responses and rejected ones that an exchange may skip, its own response included.
+constexpr int skipped_response_limit = 8;
+
 std::optional<int> parse_keep_alive(http_headers const& headers)
 {
     auto const value = find_header(headers, "keep-alive");
@@ -93,6 +96,11 @@
     }
     std::string const rest = input_.substr(consumed);
     input_.clear();
+    if (++skipped_responses_ > skipped_response_limit)
+    {
+        finish_exchange(exchange_outcome::malformed);
+        return false;
+    }
     if (head.status >= first_final_status && !begin_body(head))
         return false;
     if (rest.empty() && (!decoder_ || head.status < first_final_status))
@@ -180,6 +188,7 @@
     if (!is_active_)
         return;
     is_active_ = false;
+    skipped_responses_ = 0;
     decoder_.reset();
     input_.clear();
     if (outcome != exchange_outcome::complete)
--- a/services/gateway/forward_session_response.cpp
+++ b/services/gateway/forward_session_response.cpp
@@ -35,12 +35,29 @@
 
 void forward_session::on_body(std::string_view data)
 {
+    auto const limit = context_.settings.response_limit_bytes;
     if (!is_streaming() || !response_.is_success())
     {
-        response_body_ += data;
+        if (response_body_.size() + data.size() > limit)
+            abandon_oversized_response();
+        else
+            response_body_ += data;
         return;
     }
     forward_events(events_.feed(data));
+    if (events_.pending_bytes() > limit)
+        abandon_oversized_response();
+}
+
+void forward_session::abandon_oversized_response()
+{
+    spdlog::warn(
+        "[forward] request={} upstream={} response exceeds {} bytes",
+        request_.id,
+        last_upstream_,
+        context_.settings.response_limit_bytes);
+    drop_connection(false);
+    on_attempt_lost(exchange_outcome::malformed);
 }
 
 void forward_session::forward_events(std::string const& events)
--- a/services/gateway/gateway_settings.cpp
+++ b/services/gateway/gateway_settings.cpp
@@ -12,6 +12,8 @@
 
 constexpr std::int64_t max_port = 65'535;
 
+constexpr std::int64_t max_response_limit_bytes = std::int64_t{1024} * 1024 * 1024;
+
 constexpr double max_link_mbps = 1e6;
 
 /// Kept below the 100 topics that the platform's store supports for all its users.
@@ -43,6 +45,11 @@
             std::chrono::duration<double>(settings.shutdown_grace).count())));
     settings.prepaid_topics =
         static_cast<std::size_t>(reader.integer_or("prepaid_topics", 1, topic_limit, 1));
+    settings.response_limit_bytes = static_cast<std::size_t>(reader.integer_or(
+        "response_limit_bytes",
+        1,
+        max_response_limit_bytes,
+        static_cast<std::int64_t>(settings.response_limit_bytes)));
     settings.link_mbps = reader.number_or("link_mbps", 0, max_link_mbps, 0);
     constexpr double percent = 100;
     constexpr std::int64_t percent_limit = 100;
--- a/services/gateway/gateway_settings.hpp
+++ b/services/gateway/gateway_settings.hpp
@@ -26,6 +26,9 @@
     double link_mbps = 0;           ///< capacity of the VM's link in each direction; 0: unknown
     double retry_share = 0.1;       ///< retries per first attempt
 
+    /// Largest response of an upstream that is not streamed, and largest event of a stream.
+    std::size_t response_limit_bytes = std::size_t{1024} * 1024;
+
     /// Errors have the code `invalid_settings` and name the file, the member and the expected
     /// value.
     static absl::StatusOr<gateway_settings> load(std::string const& file);
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -316,6 +316,23 @@
     cr_assert_eq(response.body.find("another"), std::string::npos);
 }
 
+// Bytes that are no answer come without end. Guards against a gateway that keeps them all in memory
+// until the deadline, and against passing them on.
+Test(gateway, a_response_without_end_is_given_up)
+{
+    gateway_fixture it;
+    it.start_serving();
+    it.first.set_mode(upstream_mode::endless_body);
+    it.second.set_mode(upstream_mode::endless_body);
+    for (auto const* path : {"/unsafe/x", "/stream/x"})
+    {
+        auto const response = it.ask(path, std::string("r") + path);
+        cr_assert_eq(response.head.status, 502, "%s", path);
+        cr_assert_eq(response.body.find("xxx"), std::string::npos);
+    }
+    it.run_until([&] { return it.first.disconnect_count() + it.second.disconnect_count() == 2; });
+}
+
 // Guards against streams that miss or repeat an event, or look complete after an interruption.
 Test(gateway, a_cut_stream_goes_on_elsewhere_or_stays_incomplete)
 {
--- a/tests/http1.cpp
+++ b/tests/http1.cpp
@@ -251,6 +251,19 @@
     cr_assert_not(it.connection->is_reusable());
 }
 
+// An upstream sends interim responses without end. Guards against an exchange that reads them until
+// its deadline, and against a recursion as deep as there are heads in one read.
+Test(outbound_connection, gives_up_on_interim_responses_without_end)
+{
+    std::string text;
+    for (int n = 0; n < 50'000; ++n)
+        text += "HTTP/1.1 102 Processing\r\n\r\n";
+    client_fixture it(text);
+    it.exchange(false);
+    cr_assert(*it.outcome == exchange_outcome::malformed);
+    cr_assert(it.heads.empty());
+}
+
 // Guards against taking surplus bytes after a response as the next response.
 Test(outbound_connection, is_not_reusable_after_surplus_bytes)
 {
--- a/utilities/standins/platform/upstream_standin.cpp
+++ b/utilities/standins/platform/upstream_standin.cpp
@@ -23,7 +23,8 @@
 } // namespace
 
 upstream_standin::upstream_standin(event_loop& loop, std::string id)
-    : id_(std::move(id))
+    : loop_(loop)
+    , id_(std::move(id))
 {
     auto server = http1::inbound_server::create(
         loop,
@@ -121,6 +122,10 @@
         exchange->respond(200, headers, "answer to another request");
         break;
     }
+    case upstream_mode::endless_body:
+        exchange->start(200, response_headers(*exchange));
+        send_endlessly(exchange);
+        break;
     case upstream_mode::dropped_connection:
     case upstream_mode::not_executed:
         exchange->abort();
@@ -128,6 +133,16 @@
     }
 }
 
+void upstream_standin::send_endlessly(std::shared_ptr<http1::inbound_exchange> const& exchange)
+{
+    constexpr std::size_t part_bytes = std::size_t{64} * 1024;
+    constexpr duration interval{1};
+    if (!exchange->is_open())
+        return;
+    exchange->send(std::string(part_bytes, 'x'));
+    loop_.after(interval, [this, exchange] { send_endlessly(exchange); });
+}
+
 void upstream_standin::send_events(
     std::shared_ptr<http1::inbound_exchange> const& exchange,
     int first,
--- a/utilities/standins/platform/upstream_standin.hpp
+++ b/utilities/standins/platform/upstream_standin.hpp
@@ -22,6 +22,7 @@
     unresponsive,          ///< executes the request and never responds
     server_error,          ///< executes the request and responds 500
     mismatched_request_id, ///< responds with the id of another request
+    endless_body,          ///< a signed response whose body never ends
 };
 
 /// Stand-in for an upstream of the platform. Executes requests in the selected mode, adds its seal
@@ -69,9 +70,11 @@
 
 private:
     void handle(std::shared_ptr<http1::inbound_exchange> exchange);
+    void send_endlessly(std::shared_ptr<http1::inbound_exchange> const& exchange);
     void send_events(std::shared_ptr<http1::inbound_exchange> const& exchange, int first, int last);
     http_headers response_headers(http1::inbound_exchange const& exchange) const;
 
+    event_loop& loop_;
     std::string id_;
     upstream_mode mode_ = upstream_mode::single_body;
     bool are_streams_paused_ = false;
