--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -357,6 +357,7 @@
     connections_.expire();
     metrics_.set_gauges(
         server_->connection_count(), connections_.opened_count(), store_.call_count());
+    metrics_.set_store_path(store_paths_.is_direct_up(), store_paths_.relay_count());
     if (context_.is_stopping)
         try_stop();
 }
--- a/services/gateway/gateway_metrics.cpp
+++ b/services/gateway/gateway_metrics.cpp
@@ -83,4 +83,12 @@
         .Set(static_cast<double>(store_calls));
 }
 
+void gateway_metrics::set_store_path(bool is_direct, std::size_t relays)
+{
+    metrics_.gauge("almondcart_store_direct", "1 if calls reach the store directly, 0 by relays")
+        .Set(is_direct ? 1 : 0);
+    metrics_.gauge("almondcart_store_relays", "Known relays to the store")
+        .Set(static_cast<double>(relays));
+}
+
 } // namespace almondcart
--- a/services/gateway/gateway_metrics.hpp
+++ b/services/gateway/gateway_metrics.hpp
@@ -18,6 +18,7 @@
     void observe_total(std::string_view kind, duration time);
     void count_transfer(std::string_view result, std::int64_t tokens);
     void set_gauges(std::size_t connections, std::size_t opened, std::int64_t store_calls);
+    void set_store_path(bool is_direct, std::size_t relays);
     metrics& registry() { return metrics_; }
 
 private:
--- a/tests/configuration_docs.cpp
+++ b/tests/configuration_docs.cpp
@@ -71,6 +71,11 @@
     check_section("services/gateway/gateway_settings.cpp", "Gateway settings", 10);
 }
 
+Test(configuration_docs, relay_settings_are_listed)
+{
+    check_section("services/relay/relay_settings.cpp", "Relay settings", 4);
+}
+
 Test(configuration_docs, document_members_are_listed)
 {
     check_section("libraries/document/src/service_document.cpp", "Service document", 20);
