Command line: Print where the tokens of prepaid totals went

`almondcart tokens LOG...` sums the log lines of all gateways by client account: served, failed, written off at starts, lost in transfers, the rest, and refusals. Ruled out: a report from metrics, which a process that dies takes with it.

--- a/utilities/cli/commands.hpp
+++ b/utilities/cli/commands.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "fleet_client.hpp"
 
@@ -38,6 +39,10 @@
 exit_code check_document(std::string const& file);
 exit_code publish_document(fleet_client& client, publish_options const& options);
 exit_code show_status(fleet_client& client, std::string const& router, bool as_json);
+
+/// Prints where the tokens of prepaid totals went, from the log files of gateways; "-" is standard
+/// input.
+exit_code show_tokens(std::vector<std::string> const& files);
 exit_code show_timeline(fleet_client& client, timeline_options const& options);
 
 } // namespace almondcart
--- a/utilities/cli/main.cpp
+++ b/utilities/cli/main.cpp
@@ -20,8 +20,10 @@
   almondcart status --router IP:PORT [--json]
   almondcart timeline --router IP:PORT [--request KEY] [--budget ID] [--upstream NAME]
                       [--format text|json|html]
+  almondcart tokens LOG...
 
---router is the peer_listen address of any router.
+--router is the peer_listen address of any router. LOG is the output of a gateway, or - for standard
+input.
 
 Examples:
   almondcart check examples/sandshare.json
@@ -35,13 +37,16 @@
 exit_code run(std::string const& command, cxxopts::ParseResult const& options)
 {
     auto const text = [&options](char const* name) { return options[name].as<std::string>(); };
+    auto const file = [&options] { return options["file"].as<std::vector<std::string>>().front(); };
     if (command == "check")
-        return almondcart::check_document(text("file"));
+        return almondcart::check_document(file());
+    if (command == "tokens")
+        return almondcart::show_tokens(options["file"].as<std::vector<std::string>>());
     almondcart::fleet_client client;
     if (command == "publish")
     {
         almondcart::publish_options publish;
-        publish.file = text("file");
+        publish.file = file();
         publish.router = text("router");
         publish.author = text("author");
         publish.base_version = options["base-version"].as<std::int64_t>();
@@ -63,7 +68,7 @@
 {
     bool const has_file = options.count("file") > 0;
     bool const has_router = options.count("router") > 0;
-    if (command == "check")
+    if (command == "check" || command == "tokens")
         return has_file;
     if (command == "publish")
         return has_file && has_router;
@@ -76,7 +81,8 @@
 {
     cxxopts::Options options("almondcart");
     options.add_options()("command", "", cxxopts::value<std::string>()->default_value(""))(
-        "file", "", cxxopts::value<std::string>())("router", "", cxxopts::value<std::string>())(
+        "file", "", cxxopts::value<std::vector<std::string>>())(
+        "router", "", cxxopts::value<std::string>())(
         "author", "", cxxopts::value<std::string>()->default_value(""))(
         "base-version", "", cxxopts::value<std::int64_t>()->default_value("-1"))(
         "wait", "", cxxopts::value<bool>()->default_value("false"))(
