--- a/libraries/forwarding/src/account_outlook.cpp
+++ b/libraries/forwarding/src/account_outlook.cpp
@@ -1,7 +1,6 @@
 #include <almondcart/forwarding/account_outlook.hpp>
 
 #include <algorithm>
-#include <cmath>
 
 namespace almondcart::forwarding {
 
--- a/libraries/http1/include/almondcart/http1/outbound_connection.hpp
+++ b/libraries/http1/include/almondcart/http1/outbound_connection.hpp
@@ -70,8 +70,8 @@
     std::string method_;
     exchange_callbacks callbacks_;
     std::function<void()> idle_end_callback_;
-    std::string input_;         ///< bytes of an incomplete head
-    int skipped_responses_ = 0; ///< interim or rejected ones in the current exchange
+    std::string input_;      ///< bytes of an incomplete head
+    int received_heads_ = 0; ///< of the current exchange, with interim and rejected ones
     std::optional<body_decoder> decoder_;
     std::optional<int> keep_alive_seconds_;
     bool is_open_ = true;
--- a/libraries/http1/src/outbound_connection.cpp
+++ b/libraries/http1/src/outbound_connection.cpp
@@ -13,8 +13,8 @@
 
 constexpr int first_final_status = 200;
 
-/// Interim responses and rejected ones that an exchange may skip, its own response included.
-constexpr int skipped_response_limit = 8;
+/// Response heads of one exchange: its own, and interim and rejected ones before it.
+constexpr int received_head_limit = 8;
 
 std::optional<int> parse_keep_alive(http_headers const& headers)
 {
@@ -96,7 +96,7 @@
     }
     std::string const rest = input_.substr(consumed);
     input_.clear();
-    if (++skipped_responses_ > skipped_response_limit)
+    if (++received_heads_ > received_head_limit)
     {
         finish_exchange(exchange_outcome::malformed);
         return false;
@@ -188,7 +188,7 @@
     if (!is_active_)
         return;
     is_active_ = false;
-    skipped_responses_ = 0;
+    received_heads_ = 0;
     decoder_.reset();
     input_.clear();
     if (outcome != exchange_outcome::complete)
