Gateway: Log what a lost attempt shares with others

Each lost attempt now has a line with upstream, start time of its process, events received and the request's features: a hash of its content, and the shared parts of its prompt. The metric almondcart_attempts_lost_total tells attempts that had begun from those that had not. No decision changes.

--- /dev/null
+++ b/libraries/forwarding/src/request_features.cpp
@@ -0,0 +1,68 @@
+#include <almondcart/core/hash.hpp>
+#include <almondcart/core/text.hpp>
+#include <almondcart/forwarding/request_features.hpp>
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+
+namespace almondcart::forwarding {
+
+namespace {
+
+constexpr std::array<std::string_view, 2> kind_names{"content", "part"};
+
+/// Number of prompt parts that are taken into account.
+constexpr std::size_t part_limit = 16;
+
+} // namespace
+
+std::string_view name_of(feature_kind kind)
+{
+    return kind_names.at(static_cast<std::size_t>(kind));
+}
+
+std::string request_feature::text() const
+{
+    return fmt::format("{}:{:016x}", name_of(kind), id);
+}
+
+std::optional<request_feature> request_feature::parse(std::string_view text)
+{
+    constexpr int hexadecimal = 16;
+    auto const colon = text.find(':');
+    if (colon == std::string_view::npos)
+        return std::nullopt;
+    auto const kind = std::ranges::find(kind_names, text.substr(0, colon));
+    auto const id = parse_integer<std::uint64_t>(text.substr(colon + 1), hexadecimal);
+    if (kind == kind_names.end() || !id)
+        return std::nullopt;
+    return request_feature{static_cast<feature_kind>(kind - kind_names.begin()), *id};
+}
+
+std::vector<request_feature>
+features_of(client_request const& request, std::string_view caller, std::string_view body)
+{
+    auto content = hash64(caller);
+    for (auto const text :
+         {std::string_view(request.method), std::string_view(request.target), body})
+        content = hash64(text, content);
+    std::vector<request_feature> features{{feature_kind::content, content}};
+    if (!request.prompt)
+        return features;
+    auto const& parts = request.prompt->parts;
+    for (std::size_t i = 0; i + 1 < std::min(parts.size(), part_limit); ++i)
+        features.push_back({feature_kind::prompt_part, parts[i].id});
+    return features;
+}
+
+std::string text_of(std::vector<request_feature> const& features)
+{
+    std::string text;
+    for (auto const& it : features)
+        text += (text.empty() ? "" : ",") + it.text();
+    return text;
+}
+
+} // namespace almondcart::forwarding
--- a/services/gateway/forward_session.cpp
+++ b/services/gateway/forward_session.cpp
@@ -128,6 +128,11 @@
     return is_engine && request_.prompt ? &*request_.prompt : nullptr;
 }
 
+std::string_view forward_session::caller() const
+{
+    return account_ != nullptr ? account_->name : request_.key;
+}
+
 int forward_session::priority() const
 {
     return account_ != nullptr && account_->priority ? *account_->priority : route_->priority;
@@ -263,6 +268,7 @@
 void forward_session::send()
 {
     ++attempts_;
+    sent_at_ = context_.loop.now();
     http1::outbound_connection::exchange_callbacks callbacks;
     callbacks.on_head = [self = shared_from_this()](http1::response_head const& head)
     { return self->on_head(head); };
--- a/services/gateway/forward_session.hpp
+++ b/services/gateway/forward_session.hpp
@@ -52,6 +52,7 @@
     void on_stream_end();
     void on_not_executed();
     void on_attempt_lost(http1::exchange_outcome outcome);
+    void log_lost_attempt(http1::exchange_outcome outcome) const;
     void forward_events(std::string const& events);
     void deliver_response();
     bool is_streaming() const;
@@ -76,6 +77,7 @@
     duration time_left() const;
     int priority() const;
     forwarding::prompt_info const* prompt() const;
+    std::string_view caller() const;
 
     gateway_context& context_;
     std::shared_ptr<http1::inbound_exchange> exchange_;
@@ -90,6 +92,7 @@
     std::int64_t reserved_tokens_ = 0;
     std::int64_t used_tokens_ = 0; ///< of the reserved ones; set when the request ends
     int attempts_ = 0;
+    instant sent_at_{}; ///< of the last attempt
     int connect_failures_ = 0;
     execution_state execution_ = execution_state::not_sent;
     std::vector<std::string> tried_;
--- a/services/gateway/forward_session_response.cpp
+++ b/services/gateway/forward_session_response.cpp
@@ -1,3 +1,5 @@
+#include <almondcart/forwarding/request_features.hpp>
+
 #include <spdlog/spdlog.h>
 
 #include <utility>
@@ -184,10 +186,32 @@
            context_.retry_budget_of(service_->name).try_retry({true, false});
 }
 
+void forward_session::log_lost_attempt(exchange_outcome outcome) const
+{
+    auto const& target = in_flight_->target().entry;
+    bool const has_events = events_.event_count() > 0;
+    context_.metrics.count_lost_attempt(http1::name_of(outcome), has_events);
+    spdlog::info(
+        "[forward] request={} attempt={} lost: {} upstream={} started_ms={} events={} "
+        "waited_ms={} service={} features={}",
+        request_.id,
+        attempts_,
+        http1::name_of(outcome),
+        target.id,
+        target.started_ms,
+        events_.event_count(),
+        (context_.loop.now() - sent_at_).count(),
+        service_->name,
+        text_of(forwarding::features_of(request_, caller(), exchange_->body())));
+}
+
 void forward_session::on_attempt_lost(exchange_outcome outcome)
 {
     if (in_flight_)
+    {
         context_.picker.record(in_flight_->target(), attempt_result::lost);
+        log_lost_attempt(outcome);
+    }
     events_.discard_pending();
     if (outcome == exchange_outcome::not_connected)
     {
--- a/services/gateway/gateway_metrics.cpp
+++ b/services/gateway/gateway_metrics.cpp
@@ -38,6 +38,16 @@
         .Increment();
 }
 
+void gateway_metrics::count_lost_attempt(std::string_view result, bool has_events)
+{
+    metrics_
+        .counter(
+            "almondcart_attempts_lost_total",
+            "Attempts that ended without a complete answer, by result and progress",
+            {{"result", std::string(result)}, {"progress", has_events ? "begun" : "not_begun"}})
+        .Increment();
+}
+
 void gateway_metrics::observe_first_byte(std::string_view kind, duration time)
 {
     metrics_
--- a/services/gateway/gateway_metrics.hpp
+++ b/services/gateway/gateway_metrics.hpp
@@ -14,6 +14,10 @@
 public:
     void count_outcome(std::string_view kind, std::string_view outcome);
     void count_attempt(std::string_view result);
+
+    /// `has_events` tells whether the client has received part of the answer.
+    void count_lost_attempt(std::string_view result, bool has_events);
+
     void observe_first_byte(std::string_view kind, duration time);
     void observe_total(std::string_view kind, duration time);
     void count_transfer(std::string_view result, std::int64_t tokens);
