--- a/utilities/standins/platform/upstream_standin.cpp
+++ b/utilities/standins/platform/upstream_standin.cpp
@@ -51,7 +51,7 @@
     entry["zone"] = "zone-1";
     entry["slots"] = 8;
     entry["state"] = state;
-    entry["born"] = 1;
+    entry["born"] = 1 + crash_count_;
     return to_compact_json(entry);
 }
 
@@ -74,6 +74,11 @@
     ++execution_counts_[request_id];
     if (execution_callback_)
         execution_callback_(request_id);
+    if (!crash_path_.empty() && exchange->head().target == crash_path_)
+    {
+        crash(*exchange);
+        return;
+    }
     exchange->on_disconnect([this] { ++disconnect_count_; });
     auto const after = parse_integer<int>(header_value(*exchange, "Last-Event-Id")).value_or(0);
     auto const& target = exchange->head().target;
@@ -133,6 +138,13 @@
     }
 }
 
+void upstream_standin::crash(http1::inbound_exchange& exchange)
+{
+    ++crash_count_;
+    exchange.abort();
+    crash_callback_();
+}
+
 void upstream_standin::send_endlessly(std::shared_ptr<http1::inbound_exchange> const& exchange)
 {
     constexpr std::size_t part_bytes = std::size_t{64} * 1024;
--- a/utilities/standins/platform/upstream_standin.hpp
+++ b/utilities/standins/platform/upstream_standin.hpp
@@ -55,6 +55,16 @@
         execution_callback_ = std::move(callback);
     }
 
+    /// Makes requests to `path` crash this upstream: the connection closes without a response, and
+    /// a new process, with a later start time, takes over. `callback` registers it.
+    void crash_on(std::string path, std::function<void()> callback)
+    {
+        crash_path_ = std::move(path);
+        crash_callback_ = std::move(callback);
+    }
+
+    int crash_count() const { return crash_count_; }
+
     /// Request lines and headers of all requests, executed or not.
     std::vector<http1::request_head> const& request_heads() const { return request_heads_; }
 
@@ -70,6 +80,7 @@
 
 private:
     void handle(std::shared_ptr<http1::inbound_exchange> exchange);
+    void crash(http1::inbound_exchange& exchange);
     void send_endlessly(std::shared_ptr<http1::inbound_exchange> const& exchange);
     void send_events(std::shared_ptr<http1::inbound_exchange> const& exchange, int first, int last);
     http_headers response_headers(http1::inbound_exchange const& exchange) const;
@@ -80,6 +91,9 @@
     bool are_streams_paused_ = false;
     std::map<std::string, int> execution_counts_;
     std::function<void(std::string const&)> execution_callback_;
+    std::string crash_path_; ///< empty if no request crashes this upstream
+    std::function<void()> crash_callback_;
+    int crash_count_ = 0;
     std::vector<http1::request_head> request_heads_;
     std::vector<std::function<void()>> paused_;
     std::vector<std::shared_ptr<http1::inbound_exchange>> unanswered_;
