Forwarding: Let the writer of draws write records of any type

draw_writer becomes the template log_writer, so that the gateways' other records need no second writer with its own epochs, sequence numbers and resends. No behaviour changes: test_prepaid passes as before.

--- a/libraries/forwarding/include/almondcart/forwarding/draw_writer.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/log_writer.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <almondcart/core/clock.hpp>
-#include <almondcart/forwarding/draw_record.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -12,11 +11,12 @@
 
 /// One append operation. The log applies the appends of an epoch in the order of their sequence
 /// numbers, each at most once, and rejects appends of any epoch lower than the highest it has seen.
-struct draw_append
+template<typename Record>
+struct log_append
 {
     std::uint64_t epoch = 0;
     std::uint64_t sequence = 0;
-    std::vector<draw_record> records;
+    std::vector<Record> records;
 };
 
 enum class append_outcome
@@ -34,7 +34,7 @@
     std::int64_t offset = 0; ///< of the first record; valid if `outcome` is `appended`
 };
 
-/// Result of `draw_writer::write`.
+/// Result of `log_writer::write`.
 enum class write_outcome
 {
     appended,
@@ -42,7 +42,7 @@
     uncertain, ///< the log reported a conflicting state; the records may be on it
 };
 
-struct draw_writer_settings
+struct log_writer_settings
 {
     duration response_timeout{60}; ///< before an append is resent; grows with the append latency
     duration initial_backoff{50};  ///< after a rejection; doubles with each further one
@@ -50,26 +50,27 @@
     duration unknown_backoff{400}; ///< after a lost connection
 };
 
-/// Writes the draw records of one VM to the log. One append is in flight at a time and is resent
-/// until its outcome is known. The first append starts a new epoch, which fences late appends of
-/// earlier processes.
-class draw_writer
+/// Writes the records of one VM to a topic of the log. One append is in flight at a time and is
+/// resent until its outcome is known. The first append starts a new epoch, which fences late
+/// appends of earlier processes.
+template<typename Record>
+class log_writer
 {
 public:
+    using append_type = log_append<Record>;
     using append_function =
-        std::function<void(draw_append const&, std::function<void(append_result)>)>;
+        std::function<void(append_type const&, std::function<void(append_result)>)>;
 
     struct hooks
     {
         clock_function clock;
         append_function append;
-        std::function<void(write_outcome, std::vector<draw_record> const&, std::int64_t offset)>
-            on_end;
+        std::function<void(write_outcome, std::vector<Record> const&, std::int64_t offset)> on_end;
     };
 
     /// `first_epoch` should be higher than the epochs of earlier processes; if the log rejects it,
     /// the writer tries higher ones.
-    draw_writer(draw_writer_settings settings, std::uint64_t first_epoch, hooks hooks);
+    log_writer(log_writer_settings settings, std::uint64_t first_epoch, hooks hooks);
 
     /// Resends an unanswered append once its timeout has passed. Must be called periodically.
     void tick();
@@ -82,7 +83,7 @@
 
     bool is_writing() const { return pending_.has_value(); }
 
-    void write(std::vector<draw_record> records);
+    void write(std::vector<Record> records);
 
     /// Time for which the log has failed to accept a write, or zero if no write is outstanding.
     duration stalled_for() const;
@@ -93,7 +94,7 @@
 private:
     struct pending_append
     {
-        draw_append append;
+        append_type append;
         instant first_sent{};
         instant last_sent{};
         int sent_count = 0;
@@ -108,7 +109,7 @@
     void schedule_retry();
     void complete(write_outcome outcome, std::int64_t offset);
 
-    draw_writer_settings settings_;
+    log_writer_settings settings_;
     hooks hooks_;
     std::uint64_t epoch_;
     std::uint64_t next_sequence_ = 1;
--- a/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
@@ -3,7 +3,8 @@
 #include <almondcart/core/clock.hpp>
 #include <almondcart/core/random_sequence.hpp>
 #include <almondcart/forwarding/account_outlook.hpp>
-#include <almondcart/forwarding/draw_writer.hpp>
+#include <almondcart/forwarding/draw_record.hpp>
+#include <almondcart/forwarding/log_writer.hpp>
 #include <almondcart/forwarding/prepaid_ledger.hpp>
 #include <almondcart/forwarding/token_account.hpp>
 #include <almondcart/forwarding/token_transfer_client.hpp>
@@ -17,6 +18,9 @@
 
 namespace almondcart::forwarding {
 
+using draw_writer = log_writer<draw_record>;
+using draw_append = log_append<draw_record>;
+
 std::string_view name_of(reservation_result result);
 
 struct prepaid_holder_settings
@@ -30,7 +34,7 @@
     duration clock_error{3000};    ///< largest backward step of the wall clock to tolerate
     duration peer_delay{60};       ///< wait for the log before peers are asked for tokens
     duration peer_horizon{2'000};  ///< demand requested from peers in addition to waiting requests
-    draw_writer_settings writer;
+    log_writer_settings writer;
 };
 
 /// Draws tokens from the prepaid totals of client accounts and tracks what this process may spend.
--- a/libraries/forwarding/src/draw_writer.cpp
+++ b/libraries/forwarding/src/log_writer.cpp
@@ -1,4 +1,5 @@
-#include <almondcart/forwarding/draw_writer.hpp>
+#include <almondcart/forwarding/draw_record.hpp>
+#include <almondcart/forwarding/log_writer.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -12,13 +13,15 @@
 
 } // namespace
 
-draw_writer::draw_writer(draw_writer_settings settings, std::uint64_t first_epoch, hooks hooks)
+template<typename Record>
+log_writer<Record>::log_writer(log_writer_settings settings, std::uint64_t first_epoch, hooks hooks)
     : settings_(settings)
     , hooks_(std::move(hooks))
     , epoch_(first_epoch)
 {}
 
-void draw_writer::tick()
+template<typename Record>
+void log_writer<Record>::tick()
 {
     if (is_fenced_)
         return;
@@ -29,7 +32,8 @@
         send();
 }
 
-void draw_writer::write(std::vector<draw_record> records)
+template<typename Record>
+void log_writer<Record>::write(std::vector<Record> records)
 {
     pending_append pending;
     pending.append = {epoch_, next_sequence_, std::move(records)};
@@ -38,7 +42,8 @@
     send();
 }
 
-void draw_writer::send()
+template<typename Record>
+void log_writer<Record>::send()
 {
     pending_->is_in_flight = true;
     pending_->last_sent = hooks_.clock();
@@ -56,7 +61,8 @@
         });
 }
 
-void draw_writer::check_timeout()
+template<typename Record>
+void log_writer<Record>::check_timeout()
 {
     // Resending is safe, because the log applies each sequence number once.
     constexpr int append_time_factor = 4;
@@ -74,7 +80,8 @@
     next_attempt_ = hooks_.clock();
 }
 
-void draw_writer::handle_result(append_result const& result, duration time)
+template<typename Record>
+void log_writer<Record>::handle_result(append_result const& result, duration time)
 {
     pending_->is_in_flight = false;
     if (result.outcome == append_outcome::appended)
@@ -114,7 +121,8 @@
     }
 }
 
-void draw_writer::handle_fenced()
+template<typename Record>
+void log_writer<Record>::handle_fenced()
 {
     // Before the first append, a higher epoch on the log may be due to a clock that was set back,
     // so higher epochs are tried. Afterwards it belongs to another process.
@@ -125,13 +133,15 @@
     complete(is_uncertain ? write_outcome::uncertain : write_outcome::not_appended, 0);
 }
 
-void draw_writer::schedule_retry()
+template<typename Record>
+void log_writer<Record>::schedule_retry()
 {
     backoff_ = std::clamp(backoff_ * 2, settings_.initial_backoff, settings_.max_backoff);
     next_attempt_ = hooks_.clock() + backoff_;
 }
 
-void draw_writer::complete(write_outcome outcome, std::int64_t offset)
+template<typename Record>
+void log_writer<Record>::complete(write_outcome outcome, std::int64_t offset)
 {
     auto const append = std::exchange(pending_, std::nullopt)->append;
     if (outcome == write_outcome::appended)
@@ -142,7 +152,8 @@
     hooks_.on_end(outcome, append.records, offset);
 }
 
-duration draw_writer::stalled_for() const
+template<typename Record>
+duration log_writer<Record>::stalled_for() const
 {
     auto const now = hooks_.clock();
     auto since = failing_since_;
@@ -151,4 +162,6 @@
     return since ? now - *since : duration(0);
 }
 
+template class log_writer<draw_record>;
+
 } // namespace almondcart::forwarding
