Gateway: Quarantine requests that crash one upstream after the other

Cause: the gateways judged each client attempt alone. Nothing recognised a repeat, and what one gateway saw reached no other. Evidence: one content hash on 82 lost attempts at all four gateways, attempt=1 and events=0 on each. It is the class of faults in which a limit holds for one attempt or one process while the damage adds up over all of them.

Change: crash_observer turns broken connections into reports of crashed processes under the contents of requests whose answer had not begun; crash_reports shares them over a topic of the store; crash_quarantine refuses a content after three crashes, apart in time and without an answer in between, as 503 request_quarantined before anything is sent. Ruled out: counts at each gateway alone, and messages between gateways only (a new process would know nothing).

--- a/libraries/core/include/almondcart/core/result_code.hpp
+++ b/libraries/core/include/almondcart/core/result_code.hpp
@@ -37,6 +37,7 @@
     request_crashes_upstreams = 1304,
     not_ready = 1305,
     shutting_down = 1306,
+    request_quarantined = 1307,
     outcome_unknown = 1401,
     upstream_lost = 1402,
     answer_expired = 1403,
--- a/libraries/core/src/result_code.cpp
+++ b/libraries/core/src/result_code.cpp
@@ -31,6 +31,7 @@
      execution_state::unknown},
     {result_code::not_ready, "not_ready", 503, execution_state::no},
     {result_code::shutting_down, "shutting_down", 503, execution_state::no},
+    {result_code::request_quarantined, "request_quarantined", 503, execution_state::no},
     {result_code::outcome_unknown, "outcome_unknown", 504, execution_state::unknown},
     {result_code::upstream_lost, "upstream_lost", 502, execution_state::unknown},
     {result_code::answer_expired, "answer_expired", 410, execution_state::yes},
--- a/libraries/forwarding/include/almondcart/forwarding/request_features.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/request_features.hpp
@@ -26,6 +26,8 @@
     feature_kind kind = feature_kind::content;
     std::uint64_t id = 0; ///< hash of the content, or id of the prompt part
 
+    // clang-tidy 14 mistakes the zero in rewritten comparisons for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(request_feature const&) const = default;
 
     /// For example "content:9c41d07be2a35f68".
--- a/libraries/forwarding/src/log_writer.cpp
+++ b/libraries/forwarding/src/log_writer.cpp
@@ -1,3 +1,4 @@
+#include <almondcart/forwarding/crash_record.hpp>
 #include <almondcart/forwarding/draw_record.hpp>
 #include <almondcart/forwarding/log_writer.hpp>
 
@@ -163,5 +164,6 @@
 }
 
 template class log_writer<draw_record>;
+template class log_writer<crash_record>;
 
 } // namespace almondcart::forwarding
--- a/services/gateway/forward_session.cpp
+++ b/services/gateway/forward_session.cpp
@@ -92,6 +92,25 @@
     if (!find_account())
         return false;
     choose_service();
+    features_ = {features_of(request_, caller(), exchange_->body()).front()};
+    return service_ == nullptr || !refuse_if_quarantined();
+}
+
+bool forward_session::refuse_if_quarantined()
+{
+    auto const& quarantine = context_.crashes.quarantine();
+    auto const feature = quarantine.find(service_->name, features_);
+    if (!feature)
+        return false;
+    if (execution_ == execution_state::may_have_run)
+        fail(
+            result_code::upstream_lost,
+            "requests like this one crash upstreams: " + feature->text());
+    else
+        refuse(
+            result_code::request_quarantined,
+            feature->text(),
+            quarantine.time_left(service_->name, *feature));
     return true;
 }
 
@@ -210,7 +229,7 @@
 {
     response_ = {};
     response_body_.clear();
-    if (!acquire_connection())
+    if (refuse_if_quarantined() || !acquire_connection())
         return;
     send();
 }
--- a/services/gateway/forward_session.hpp
+++ b/services/gateway/forward_session.hpp
@@ -39,6 +39,7 @@
     void reserve_tokens();
     std::string describe_prepaid_state(std::int64_t needed) const;
     void choose_service();
+    bool refuse_if_quarantined();
     void attempt();
     bool acquire_connection();
     void send();
@@ -51,6 +52,9 @@
     void on_complete_response();
     void on_stream_end();
     void on_not_executed();
+    void report_broken_connection();
+    void report_answer();
+    forwarding::upstream_process target_process() const;
     void on_attempt_lost(http1::exchange_outcome outcome);
     void log_lost_attempt(http1::exchange_outcome outcome) const;
     void forward_events(std::string const& events);
@@ -94,6 +98,7 @@
     int attempts_ = 0;
     instant sent_at_{}; ///< of the last attempt
     int connect_failures_ = 0;
+    std::vector<forwarding::request_feature> features_; ///< by which a crash request is recognized
     execution_state execution_ = execution_state::not_sent;
     std::vector<std::string> tried_;
     std::unique_ptr<forwarding::in_flight_guard> in_flight_;
--- a/services/gateway/forward_session_response.cpp
+++ b/services/gateway/forward_session_response.cpp
@@ -1,5 +1,3 @@
-#include <almondcart/forwarding/request_features.hpp>
-
 #include <spdlog/spdlog.h>
 
 #include <utility>
@@ -32,6 +30,7 @@
     }
     response_timer_.cancel();
     response_ = std::move(response);
+    context_.crashes.observer().responded(target_process());
     return true;
 }
 
@@ -70,6 +69,7 @@
     {
         first_byte_time_ = context_.loop.now() - arrived_;
         context_.metrics.observe_first_byte(forwarding::name_of(route_->kind), *first_byte_time_);
+        report_answer();
     }
     if (!is_response_started_)
     {
@@ -90,6 +90,8 @@
     if (is_done_)
         return;
     context_.metrics.count_attempt(http1::name_of(outcome));
+    if (outcome == exchange_outcome::not_answered || outcome == exchange_outcome::broken_off)
+        report_broken_connection();
     drop_connection(outcome == exchange_outcome::complete);
     if (outcome != exchange_outcome::complete)
         on_attempt_lost(outcome);
@@ -121,6 +123,7 @@
         return;
     }
     execution_ = execution_state::may_have_run;
+    report_answer();
     constexpr int server_error = 500;
     bool const is_failure = response_.status >= server_error;
     context_.picker.record(
@@ -186,6 +189,24 @@
            context_.retry_budget_of(service_->name).try_retry({true, false});
 }
 
+forwarding::upstream_process forward_session::target_process() const
+{
+    auto const& target = in_flight_->target().entry;
+    return {target.id, target.started_ms};
+}
+
+void forward_session::report_answer()
+{
+    context_.crashes.observer().answered(service_->name, features_);
+}
+
+void forward_session::report_broken_connection()
+{
+    // A request that crashes an upstream gets no part of its answer.
+    if (events_.event_count() == 0)
+        context_.crashes.observer().lost(target_process(), service_->name, features_);
+}
+
 void forward_session::log_lost_attempt(exchange_outcome outcome) const
 {
     auto const& target = in_flight_->target().entry;
@@ -202,7 +223,7 @@
         events_.event_count(),
         (context_.loop.now() - sent_at_).count(),
         service_->name,
-        text_of(forwarding::features_of(request_, caller(), exchange_->body())));
+        text_of(features_of(request_, caller(), exchange_->body())));
 }
 
 void forward_session::on_attempt_lost(exchange_outcome outcome)
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -146,6 +146,7 @@
               return current == nullptr ? std::nullopt : current->prepaid_tokens(name);
           },
           peers_.exchange())
+    , crashes_(loop_, store_, metrics_, settings_.name)
     , context_{
           loop_,
           settings_,
@@ -155,6 +156,7 @@
           picker_,
           prepaid_,
           connections_,
+          crashes_,
           metrics_,
           {},
           false,
@@ -220,6 +222,7 @@
     follow_configuration();
     follow_upstreams();
     prepaid_.start();
+    crashes_.start();
     loop_.every(maintenance_interval, [this] { run_maintenance(); });
     loop_.every(settings_check_interval, [this] { check_settings_file(); });
 }
@@ -353,6 +356,7 @@
     flush_stdout_logging();
     update_relays();
     prepaid_.tick();
+    crashes_.tick();
     update_link_load();
     connections_.expire();
     metrics_.set_gauges(
--- a/services/gateway/gateway.hpp
+++ b/services/gateway/gateway.hpp
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 
+#include "crash_reports.hpp"
 #include "gateway_context.hpp"
 #include "prepaid_accounts.hpp"
 #include "token_transfer_rpc.hpp"
@@ -65,6 +66,7 @@
     gateway_metrics metrics_;
     token_transfer_rpc peers_;
     prepaid_accounts prepaid_;
+    crash_reports crashes_;
     gateway_context context_;
     forwarding::link_load link_;
     bool are_relays_outdated_ = false;
--- a/services/gateway/gateway_context.hpp
+++ b/services/gateway/gateway_context.hpp
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 
+#include "crash_reports.hpp"
 #include "gateway_metrics.hpp"
 #include "gateway_settings.hpp"
 #include "prepaid_accounts.hpp"
@@ -40,6 +41,7 @@
     forwarding::upstream_picker& picker;
     prepaid_accounts& prepaid;
     upstream_connections& connections;
+    crash_reports& crashes;
     gateway_metrics& metrics;
     std::map<std::string, retry_budget> retry_budgets; ///< by service
     bool is_ready = false;
--- a/services/gateway/gateway_metrics.cpp
+++ b/services/gateway/gateway_metrics.cpp
@@ -101,4 +101,23 @@
         .Set(static_cast<double>(relays));
 }
 
+void gateway_metrics::count_crash_report(bool is_crash)
+{
+    metrics_
+        .counter(
+            "almondcart_crash_reports_total",
+            "Reports to other gateways about requests that may crash upstreams",
+            {{"evidence", is_crash ? "crash" : "answer"}})
+        .Increment();
+}
+
+void gateway_metrics::set_quarantined(std::size_t features)
+{
+    metrics_
+        .gauge(
+            "almondcart_quarantined_features",
+            "Contents and prompt parts with which requests are refused")
+        .Set(static_cast<double>(features));
+}
+
 } // namespace almondcart
--- a/services/gateway/gateway_metrics.hpp
+++ b/services/gateway/gateway_metrics.hpp
@@ -23,6 +23,10 @@
     void count_transfer(std::string_view result, std::int64_t tokens);
     void set_gauges(std::size_t connections, std::size_t opened, std::int64_t store_calls);
     void set_store_path(bool is_direct, std::size_t relays);
+
+    /// Counts a report to the other gateways: of a crash, or of an answer to a suspected request.
+    void count_crash_report(bool is_crash);
+    void set_quarantined(std::size_t features);
     metrics& registry() { return metrics_; }
 
 private:
--- a/services/gateway/prepaid_log.cpp
+++ b/services/gateway/prepaid_log.cpp
@@ -8,35 +8,18 @@
 #include <algorithm>
 #include <utility>
 
+#include "record_append.hpp"
+
 namespace almondcart {
 
 namespace {
 
-using forwarding::append_outcome;
 using forwarding::append_result;
 using forwarding::draw_record;
 
 /// Pause between reads that nothing waits for, so that records of several gateways are batched.
 constexpr duration read_pause{1000};
 
-append_outcome outcome_of(platform::store_error error)
-{
-    switch (error)
-    {
-    case platform::store_error::fenced:
-        return append_outcome::fenced;
-    case platform::store_error::out_of_sequence:
-        return append_outcome::out_of_sequence;
-    case platform::store_error::rejected:
-    case platform::store_error::deleted:
-        return append_outcome::rejected;
-    case platform::store_error::unanswered:
-    case platform::store_error::unreadable:
-        break;
-    }
-    return append_outcome::unknown;
-}
-
 } // namespace
 
 prepaid_log::prepaid_log(
@@ -131,27 +114,7 @@
     forwarding::draw_append const& append,
     std::function<void(append_result)> done)
 {
-    std::vector<platform::keyed_record> encoded;
-    encoded.reserve(append.records.size());
-    for (auto const& it : append.records)
-        encoded.push_back({0, it.key(), it.value()});
-    store_.append(
-        topic_,
-        {producer_, append.epoch, append.sequence},
-        encoded,
-        [done = std::move(done), sequence = append.sequence, n = encoded.size()](
-            platform::store_result<std::int64_t> const& result)
-        {
-            if (!result.has_value())
-                spdlog::info(
-                    "[prepaid] append sequence={} records={} failed: {}",
-                    sequence,
-                    n,
-                    platform::name_of(result.error));
-            done(
-                result.has_value() ? append_result{append_outcome::appended, *result.value}
-                                   : append_result{outcome_of(result.error), 0});
-        });
+    append_records(store_, topic_, producer_, "prepaid", append, std::move(done));
 }
 
 } // namespace almondcart
