--- a/tests/gateway_crashes.cpp
+++ b/tests/gateway_crashes.cpp
@@ -1,6 +1,7 @@
 #include <criterion/criterion.h>
 
 #include <csignal>
+#include <functional>
 #include <string>
 
 #include "support/gateway_fixture.hpp"
@@ -11,15 +12,22 @@
 namespace {
 
 constexpr char const* crash_path = "/unsafe/crash";
+constexpr char const* crash_part = "5bad:100";
 
-/// A gateway before upstreams that a request to `crash_path` crashes.
+bool crashes_upstream(http1::request_head const& head)
+{
+    auto const prompt = find_header(head.headers, "X-Almondcart-Prompt-Prefix").value_or("");
+    return head.target == crash_path || prompt.find(crash_part) != std::string_view::npos;
+}
+
+/// A gateway before upstreams that some requests crash.
 struct crash_fixture : gateway_fixture
 {
     crash_fixture()
     {
         start_serving();
         for (auto* upstream : {&first, &second})
-            upstream->crash_on(crash_path, [this, upstream] { add(*upstream); });
+            upstream->crash_if(crashes_upstream, [this, upstream] { add(*upstream); });
     }
 
     int crash_count() const { return first.crash_count() + second.crash_count(); }
@@ -33,25 +41,40 @@
         run_until([&] { return loop.now() >= end; });
     }
 
-    /// Repeats the request until it has crashed three upstreams, and goes on for the time in which
-    /// the gateways may learn of it.
-    void repeat_until_known()
+    /// Sends a model request whose prompt has a common beginning, `part` and an end of its own.
+    client_response prompt(std::string const& part)
+    {
+        auto const n = std::to_string(++repeats);
+        auto headers = headers_with_tokens("prompt-" + n, 400, 8);
+        headers.emplace_back(
+            "X-Almondcart-Prompt-Prefix", "a1:100," + part + ",a2:100," + n + ":100");
+        return ask("/unsafe/prompt?n=" + n, headers);
+    }
+
+    /// Calls `send` until `crashes` upstreams have crashed, and goes on for the time in which the
+    /// gateways may learn of it.
+    void send_until_known(int crashes, std::function<void()> const& send)
     {
         constexpr duration pause{250};
         constexpr duration time_to_learn{3000};
-        while (crash_count() < 3)
+        while (crash_count() < crashes)
         {
-            repeat();
+            send();
             wait(pause);
         }
         auto const end = loop.now() + time_to_learn;
         while (loop.now() < end)
         {
-            repeat();
+            send();
             wait(pause);
         }
     }
 
+    void repeat_until_known()
+    {
+        send_until_known(3, [this] { repeat(); });
+    }
+
     int repeats = 0;
 };
 
@@ -92,3 +115,26 @@
         cr_assert_eq(it.repeat().head.status, 503);
     cr_assert_eq(it.crash_count(), crashes);
 }
+
+// Requests that are all different crash each upstream by one part of their prompts, amid sound
+// requests with the same beginning and the same caller. Guards against sending them on without end,
+// and against refusing the sound ones.
+Test(gateway_crashes, a_prompt_part_that_crashes_upstreams_is_refused_and_no_other)
+{
+    crash_fixture it;
+    it.send_until_known(
+        5,
+        [&]
+        {
+            it.prompt(crash_part);
+            cr_assert_eq(it.prompt("c1:100").head.status, 200);
+        });
+    auto const crashes = it.crash_count();
+    for (int n = 0; n < 8; ++n)
+    {
+        cr_assert_eq(it.prompt(crash_part).head.status, 503);
+        cr_assert_eq(it.prompt("c1:100").head.status, 200);
+        cr_assert_eq(it.prompt("d" + std::to_string(n) + ":100").head.status, 200);
+    }
+    cr_assert_eq(it.crash_count(), crashes);
+}
--- a/utilities/standins/platform/upstream_standin.cpp
+++ b/utilities/standins/platform/upstream_standin.cpp
@@ -74,7 +74,7 @@
     ++execution_counts_[request_id];
     if (execution_callback_)
         execution_callback_(request_id);
-    if (!crash_path_.empty() && exchange->head().target == crash_path_)
+    if (crash_condition_ && crash_condition_(exchange->head()))
     {
         crash(*exchange);
         return;
--- a/utilities/standins/platform/upstream_standin.hpp
+++ b/utilities/standins/platform/upstream_standin.hpp
@@ -55,11 +55,13 @@
         execution_callback_ = std::move(callback);
     }
 
-    /// Makes requests to `path` crash this upstream: the connection closes without a response, and
-    /// a new process, with a later start time, takes over. `callback` registers it.
-    void crash_on(std::string path, std::function<void()> callback)
+    /// Requests that fulfil `condition` crash this upstream: the connection closes without a
+    /// response, and a new process, with a later start time, takes over. `callback` registers it.
+    void crash_if(
+        std::function<bool(http1::request_head const&)> condition,
+        std::function<void()> callback)
     {
-        crash_path_ = std::move(path);
+        crash_condition_ = std::move(condition);
         crash_callback_ = std::move(callback);
     }
 
@@ -91,7 +93,7 @@
     bool are_streams_paused_ = false;
     std::map<std::string, int> execution_counts_;
     std::function<void(std::string const&)> execution_callback_;
-    std::string crash_path_; ///< empty if no request crashes this upstream
+    std::function<bool(http1::request_head const&)> crash_condition_; ///< may be empty
     std::function<void()> crash_callback_;
     int crash_count_ = 0;
     std::vector<http1::request_head> request_heads_;
