--- a/tests/platform.cpp
+++ b/tests/platform.cpp
@@ -119,6 +119,33 @@
         cr_assert_not(decode_upstream("i-1", text).ok(), "%s", text);
 }
 
+// Another writer leaves entries with numbers out of range or deep nesting. Guards against upstreams
+// that cannot be reached or have no slots, and against an exception that ends the process.
+Test(operator_records, rejects_entries_with_values_out_of_range)
+{
+    auto const entry = [](std::string const& port, std::string const& members)
+    {
+        return R"({"backend":"models","address":"10.0.0.9:)" + port +
+               R"(","zone":"a","state":"ready")" + members + "}";
+    };
+    cr_assert(decode_upstream("i-1", entry("80", R"(,"slots":8,"born":5)")).ok());
+    for (auto const* port : {"0", "-1", "65536", "70000", "99999999999999999999", "", "8 0", "+80"})
+        cr_assert_not(decode_upstream("i-1", entry(port, "")).ok(), "port %s", port);
+    auto const nested = std::string(100'000, '[') + std::string(100'000, ']');
+    for (auto const& members : std::vector<std::string>{
+             R"(,"slots":0)",
+             R"(,"slots":4294967297)",
+             R"(,"slots":2147483648)",
+             R"(,"slots":99999999999999999999)",
+             R"(,"slots":1e400)",
+             R"(,"slots":8.5)",
+             R"(,"born":-1)",
+             R"(,"born":1e300)",
+             R"(,"other":)" + nested})
+        cr_assert_not(
+            decode_upstream("i-1", entry("80", members)).ok(), "%s", members.substr(0, 40).c_str());
+}
+
 // Guards against headers with which a client could impersonate the gateway, and against forwarding
 // API keys to an upstream.
 Test(exchange_headers, replaces_what_only_the_gateway_may_set)
