Gateway: Believe no response without a request id on a kept connection

Report of other operators: a faulty upstream wrote an earlier refusal once more on a kept connection, and clients were told that requests had not run which ran. A copy that names the earlier request was discarded already (a_late_copy_of_a_refusal_answers_no_other_request passed before). A copy without an id was taken for the current request: a_refusal_without_an_id_on_a_kept_connection_promises_nothing failed at its second request, which had run and was answered 503. Such a response is now discarded if the connection has carried other exchanges, and the own one is awaited.

--- a/libraries/http1/include/almondcart/http1/outbound_connection.hpp
+++ b/libraries/http1/include/almondcart/http1/outbound_connection.hpp
@@ -56,6 +56,9 @@
     bool is_reusable() const { return is_open_ && is_reusable_ && !is_active_; }
     bool is_connected() const { return is_connected_; }
 
+    /// Whether this connection has carried other exchanges before the current one.
+    bool is_reused() const { return exchange_count_ > 1; }
+
     /// Idle timeout that the server announced in its `Keep-Alive` header, in seconds.
     std::optional<int> keep_alive_seconds() const { return keep_alive_seconds_; }
 
@@ -71,6 +74,7 @@
     exchange_callbacks callbacks_;
     std::function<void()> idle_end_callback_;
     std::string input_;      ///< bytes of an incomplete head
+    int exchange_count_ = 0;
     int received_heads_ = 0; ///< of the current exchange, with interim and rejected ones
     std::optional<body_decoder> decoder_;
     std::optional<int> keep_alive_seconds_;
--- a/libraries/http1/src/outbound_connection.cpp
+++ b/libraries/http1/src/outbound_connection.cpp
@@ -52,6 +52,7 @@
     std::string_view request,
     exchange_callbacks callbacks)
 {
+    ++exchange_count_;
     method_ = method;
     callbacks_ = std::move(callbacks);
     is_active_ = true;
--- a/services/gateway/forward_session_response.cpp
+++ b/services/gateway/forward_session_response.cpp
@@ -19,13 +19,16 @@
 bool forward_session::on_head(http1::response_head const& head)
 {
     auto response = context_.codec.decode_response(head.status, head.headers);
-    if (!response.request_id.empty() && response.request_id != request_.id)
+    // On a connection that has carried others, a response without an id may be a late copy of
+    // theirs.
+    bool const is_identified = !response.request_id.empty() || !connection_->is_reused();
+    if (!is_identified || (!response.request_id.empty() && response.request_id != request_.id))
     {
         spdlog::warn(
             "[forward] request={} upstream={} discarded a response to request {}",
             request_.id,
             last_upstream_,
-            response.request_id);
+            response.request_id.empty() ? "-" : response.request_id);
         return false;
     }
     response_timer_.cancel();
--- a/tests/gateway_upstream_faults.cpp
+++ b/tests/gateway_upstream_faults.cpp
@@ -1,8 +1,10 @@
 #include <criterion/criterion.h>
 
+#include <functional>
 #include <string>
 
 #include "support/gateway_fixture.hpp"
+#include "support/scripted_upstream.hpp"
 
 using namespace almondcart;
 using namespace almondcart::test_support;
@@ -40,3 +42,67 @@
     it.run_until(is_applied);
     cr_assert_not(it.gateway->try_wait().has_value());
 }
+
+namespace {
+
+std::string refusal(std::string const& id)
+{
+    auto const id_header = id.empty() ? "" : "X-Almondcart-Request-Id: " + id + "\r\n";
+    return "HTTP/1.1 503 Service Unavailable\r\nX-Almondcart-Not-Executed: 1\r\n" + id_header +
+           "Content-Length: 0\r\n\r\n";
+}
+
+std::string answer(std::string const& id)
+{
+    return "HTTP/1.1 200 OK\r\nX-Almondcart-Request-Id: " + id +
+           "\r\nX-Almondcart-Response-Seal: seal\r\nContent-Length: 2\r\n\r\nok";
+}
+
+/// Sends requests to an upstream that refuses the first one on each connection. On the others it
+/// sends `copy` of that refusal first and then an answer.
+void check_late_copies(std::function<std::string(std::string const& earlier_id)> const& copy)
+{
+    gateway_fixture it;
+    scripted_upstream upstream(
+        it.loop,
+        [&](std::string const& id, std::string const& earlier_id)
+        { return earlier_id.empty() ? refusal(id) : copy(earlier_id) + answer(id); });
+    it.configure(1, 1'000'000);
+    it.store.put(
+        "keyed.servers", "i-1", it.first.registry_entry("models", "ready", upstream.address()));
+    it.wait_until_ready();
+    constexpr int request_count = 20;
+    constexpr duration pause{150};
+    for (int n = 0; n < request_count; ++n)
+    {
+        auto const id = "r-" + std::to_string(n);
+        auto const reused_before = upstream.reuse_count();
+        auto const response = it.ask("/unsafe/x", id);
+        bool const has_run = upstream.reuse_count() > reused_before;
+        if (has_run)
+            cr_assert_neq(response.head.status, 503, "%s", id.c_str());
+        if (response.head.status == 200)
+            cr_assert_eq(response.header("X-Almondcart-Request-Id"), id);
+        if (upstream.request_counts().contains(id))
+            cr_assert_eq(upstream.request_counts().at(id), 1);
+        // An upstream that was at capacity is left out for a short time.
+        auto const end = it.loop.now() + pause;
+        it.run_until([&] { return it.loop.now() >= end; });
+    }
+    cr_assert_gt(upstream.reuse_count(), 0);
+}
+
+} // namespace
+
+// A faulty upstream sends an earlier refusal once more on a kept connection and runs the next
+// request. Guards against a client that is told that its request did not run.
+Test(gateway_upstream_faults, a_late_copy_of_a_refusal_answers_no_other_request)
+{
+    check_late_copies([](std::string const& earlier_id) { return refusal(earlier_id); });
+}
+
+// The same, with a refusal that names no request.
+Test(gateway_upstream_faults, a_refusal_without_an_id_on_a_kept_connection_promises_nothing)
+{
+    check_late_copies([](std::string const&) { return refusal(""); });
+}
