Gateway: Pass on no event of a response that is not signed

Report of other operators: a stream broke off, the next upstream answered with an error, and clients found its text in their stream, or a stream that looked complete. An error status ends the stream as incomplete here already. But the signature was checked only before the first event of a request, not for each response: events of an unsigned 200 were passed on in the middle of a stream, and an empty one ended it as complete. Besides, events of an unsigned first response were counted although they were not passed on, so the next upstream was asked to go on behind them and the client missed them. a_stream_that_cannot_be_continued_ends_incomplete and events_of_an_unsigned_response_are_not_skipped_later failed before and pass now: an unsigned response to a stream is given up at its first bytes, and the attempt counts as lost.

--- a/services/gateway/forward_session.hpp
+++ b/services/gateway/forward_session.hpp
@@ -47,7 +47,7 @@
 
     bool on_head(http1::response_head const& head);
     void on_body(std::string_view data);
-    void abandon_oversized_response();
+    void abandon_response(std::string_view reason);
     void on_end(http1::exchange_outcome outcome);
     void on_complete_response();
     void on_stream_end();
--- a/services/gateway/forward_session_response.cpp
+++ b/services/gateway/forward_session_response.cpp
@@ -43,23 +43,26 @@
     if (!is_streaming() || !response_.is_success())
     {
         if (response_body_.size() + data.size() > limit)
-            abandon_oversized_response();
+            abandon_response("exceeds the limit");
         else
             response_body_ += data;
         return;
     }
+    // Events of an unsigned response may belong to no run, or to another one.
+    if (!response_.is_signed)
+    {
+        abandon_response("is not signed");
+        return;
+    }
     forward_events(events_.feed(data));
     if (events_.pending_bytes() > limit)
-        abandon_oversized_response();
+        abandon_response("exceeds the limit");
 }
 
-void forward_session::abandon_oversized_response()
+void forward_session::abandon_response(std::string_view reason)
 {
     spdlog::warn(
-        "[forward] request={} upstream={} response exceeds {} bytes",
-        request_.id,
-        last_upstream_,
-        context_.settings.response_limit_bytes);
+        "[forward] request={} upstream={} response {}", request_.id, last_upstream_, reason);
     drop_connection(false);
     on_attempt_lost(exchange_outcome::malformed);
 }
@@ -76,9 +79,6 @@
     }
     if (!is_response_started_)
     {
-        // A successful response is forwarded only if the upstream has signed it.
-        if (!response_.is_signed)
-            return;
         is_response_started_ = true;
         exchange_->start(response_.status, response_.forwarded);
     }
@@ -107,7 +107,7 @@
 void forward_session::on_stream_end()
 {
     // A complete stream has a signed head and ends with a complete event.
-    if (!is_response_started_ || events_.pending_bytes() > 0)
+    if (!is_response_started_ || !response_.is_signed || events_.pending_bytes() > 0)
     {
         on_attempt_lost(exchange_outcome::broken_off);
         return;
--- a/tests/gateway_upstream_faults.cpp
+++ b/tests/gateway_upstream_faults.cpp
@@ -8,6 +8,8 @@
 
 using namespace almondcart;
 using namespace almondcart::test_support;
+using standins::upstream_mode;
+using standins::upstream_standin;
 
 // Another writer leaves odd entries among those of the upstreams, in the snapshot and later. Guards
 // against a gateway that ends, or stops following the registry.
@@ -43,6 +45,51 @@
     cr_assert_not(it.gateway->try_wait().has_value());
 }
 
+// A stream has begun and broke off, and the next upstream answers with an error, or with a response
+// that is not its own. Guards against its text in the middle of the stream, and against a stream
+// that ends as if it were complete.
+Test(gateway_upstream_faults, a_stream_that_cannot_be_continued_ends_incomplete)
+{
+    gateway_fixture it;
+    it.start_serving();
+    it.fill_retry_budget();
+    for (auto const next : {upstream_mode::server_error, upstream_mode::unsigned_stream})
+    {
+        it.first.set_mode(upstream_mode::truncated_stream);
+        it.second.set_mode(upstream_mode::truncated_stream);
+        auto const id = "r-" + std::to_string(static_cast<int>(next));
+        auto const stream =
+            it.send(it.listen, "POST", "/resume/x", gateway_fixture::client_headers(id));
+        it.run_until([&] { return stream->body.find("id: 3") != std::string::npos; });
+        it.first.set_mode(next);
+        it.second.set_mode(next);
+        it.first.release();
+        it.second.release();
+        it.run_until([&] { return stream->end.has_value(); });
+        cr_assert_not(stream->is_complete());
+        cr_assert_eq(stream->body, events(1, 3));
+    }
+}
+
+// An upstream streams events without its signature and breaks off; the request goes on at another
+// one. Guards against a stream without the events that were never passed on.
+Test(gateway_upstream_faults, events_of_an_unsigned_response_are_not_skipped_later)
+{
+    gateway_fixture it;
+    it.start_serving();
+    it.fill_retry_budget();
+    it.first.set_mode(upstream_mode::unsigned_stream);
+    it.second.set_mode(upstream_mode::stream);
+    for (int n = 0; n < 6; ++n)
+    {
+        auto const stream = it.ask("/resume/x", "r-" + std::to_string(n));
+        if (stream.head.status == 200)
+            cr_assert_eq(stream.body, events(1, upstream_standin::event_count));
+        else
+            cr_assert_eq(stream.head.status, 502);
+    }
+}
+
 namespace {
 
 std::string refusal(std::string const& id)
--- a/utilities/standins/platform/upstream_standin.cpp
+++ b/utilities/standins/platform/upstream_standin.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr duration unsigned_stream_time{20};
+
 std::string header_value(http1::inbound_exchange const& exchange, std::string_view name)
 {
     return std::string(find_header(exchange.head().headers, name).value_or(""));
@@ -115,6 +117,12 @@
         exchange->send("id: 4\nda");
         paused_.push_back([exchange] { exchange->abort(); });
         break;
+    case upstream_mode::unsigned_stream:
+        exchange->start(200, {response_headers(*exchange).front()});
+        send_events(exchange, after + 1, after == 0 ? event_count / 2 : event_count);
+        // Later, so that the events are written before the connection closes.
+        loop_.after(unsigned_stream_time, [exchange] { exchange->abort(); });
+        break;
     case upstream_mode::unresponsive:
         unanswered_.push_back(std::move(exchange));
         break;
--- a/utilities/standins/platform/upstream_standin.hpp
+++ b/utilities/standins/platform/upstream_standin.hpp
@@ -17,6 +17,8 @@
     by_path, ///< as `stream` for paths that begin with "/stream/" or "/resume/", else `single_body`
     stream,  ///< events 1 to `event_count`, starting after Last-Event-Id
     truncated_stream,      ///< half of the events and part of one, then a closed connection
+    unsigned_stream,       ///< without a seal header; half of the events, or the rest after
+                           ///< Last-Event-Id, then a closed connection
     dropped_connection,    ///< executes the request and closes the connection
     not_executed,          ///< responds that the request was not executed
     unresponsive,          ///< executes the request and never responds
