Gateway: Send nothing more to an upstream that says in a response that it leaves

The gateway learned of leaving from the registry alone, so an upstream went on getting work while the registry was behind or the store away. Weighed and not done: telling other gateways (docs/platform.md).

--- a/libraries/forwarding/include/almondcart/forwarding/crash_record.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/crash_record.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <almondcart/forwarding/request_features.hpp>
+#include <almondcart/forwarding/upstream_process.hpp>
 
 #include <absl/status/statusor.h>
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -13,17 +13,6 @@
 
 namespace almondcart::forwarding {
 
-/// One process of an upstream. A process that starts anew under the same id is another one.
-struct upstream_process
-{
-    std::string id;
-    std::int64_t started_ms = 0; ///< Unix time
-
-    // clang-tidy 14 mistakes the zero in rewritten comparisons for a null pointer.
-    // NOLINTNEXTLINE(modernize-use-nullptr)
-    auto operator<=>(upstream_process const&) const = default;
-};
-
 /// What one gateway tells the others about requests that crash upstreams.
 struct crash_record
 {
--- a/libraries/forwarding/include/almondcart/forwarding/upstream_directory.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/upstream_directory.hpp
@@ -1,8 +1,11 @@
 #pragma once
 
 #include <almondcart/core/instant.hpp>
+#include <almondcart/forwarding/upstream_process.hpp>
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -27,13 +30,23 @@
     bool operator==(upstream_entry const&) const = default;
 };
 
+/// What a process of an upstream has said of itself in responses to this gateway. The registry may
+/// say otherwise, because it is behind or cannot be reached.
+struct upstream_statement
+{
+    bool is_leaving = false; ///< wants no more requests
+};
+
 /// Upstream known to this gateway.
 struct upstream
 {
     upstream_entry entry;
     bool is_gone = false; ///< deregistered; kept alive by requests in progress
+    upstream_statement statement;
 
-    bool accepts_work() const { return !is_gone && !entry.is_draining; }
+    bool accepts_work() const { return !is_gone && !entry.is_draining && !statement.is_leaving; }
+
+    upstream_process process() const { return {entry.id, entry.started_ms}; }
 };
 
 using upstream_pointer = std::shared_ptr<upstream>;
@@ -52,16 +65,23 @@
     /// Applies a snapshot of the registry and removes upstreams that it does not contain.
     void replace_all(std::map<std::string, upstream_entry> const& entries);
 
+    /// The upstream said in a response that it is leaving. This holds for its process, also if the
+    /// registry still lists it as ready, or removes it and lists it again.
+    void record_leaving(upstream_pointer const& target);
+
     std::vector<upstream_pointer> const& of_service(std::string_view service) const;
     std::size_t size() const { return by_id_.size(); }
     std::map<std::string, upstream_pointer> const& all() const { return by_id_; }
 
 private:
     void remove(std::string const& id);
+    void remember(upstream const& target);
     void rebuild(std::string const& service);
 
     std::function<void(upstream const&)> on_change_;
     std::map<std::string, upstream_pointer> by_id_;
+    std::map<upstream_process, upstream_statement> statements_;
+    std::deque<upstream_process> statement_order_; ///< oldest first
     std::map<std::string, std::vector<upstream_pointer>, std::less<>> by_service_;
 };
 
--- a/libraries/forwarding/src/upstream_directory.cpp
+++ b/libraries/forwarding/src/upstream_directory.cpp
@@ -4,6 +4,13 @@
 
 namespace almondcart::forwarding {
 
+namespace {
+
+/// Processes whose statements are remembered; the oldest are dropped first.
+constexpr std::size_t statement_limit = 4096;
+
+} // namespace
+
 upstream_directory::upstream_directory(std::function<void(upstream const&)> on_change)
     : on_change_(std::move(on_change))
 {}
@@ -32,13 +39,37 @@
         }
         remove(id);
     }
-    auto const added = std::make_shared<upstream>(upstream{*std::move(entry), false});
+    auto const added = std::make_shared<upstream>();
+    added->entry = *std::move(entry);
+    if (auto const known = statements_.find(added->process()); known != statements_.end())
+        added->statement = known->second;
     by_id_.emplace(id, added);
     rebuild(added->entry.service);
     if (on_change_)
         on_change_(*added);
 }
 
+void upstream_directory::record_leaving(upstream_pointer const& target)
+{
+    if (std::exchange(target->statement.is_leaving, true))
+        return;
+    remember(*target);
+    if (on_change_)
+        on_change_(*target);
+}
+
+void upstream_directory::remember(upstream const& target)
+{
+    auto const [it, is_new] = statements_.insert_or_assign(target.process(), target.statement);
+    if (!is_new)
+        return;
+    statement_order_.push_back(it->first);
+    if (statement_order_.size() <= statement_limit)
+        return;
+    statements_.erase(statement_order_.front());
+    statement_order_.pop_front();
+}
+
 void upstream_directory::replace_all(std::map<std::string, upstream_entry> const& entries)
 {
     std::vector<std::string> missing;
--- a/services/gateway/forward_session.hpp
+++ b/services/gateway/forward_session.hpp
@@ -46,6 +46,7 @@
     std::string encode_request() const;
 
     bool on_head(http1::response_head const& head);
+    void record_statements();
     void on_body(std::string_view data);
     void abandon_response(std::string_view reason);
     void on_end(http1::exchange_outcome outcome);
@@ -54,7 +55,6 @@
     void on_not_executed();
     void report_broken_connection();
     void report_answer();
-    forwarding::upstream_process target_process() const;
     void on_attempt_lost(http1::exchange_outcome outcome);
     void log_lost_attempt(http1::exchange_outcome outcome) const;
     void forward_events(std::string const& events);
--- a/services/gateway/forward_session_response.cpp
+++ b/services/gateway/forward_session_response.cpp
@@ -33,10 +33,25 @@
     }
     response_timer_.cancel();
     response_ = std::move(response);
-    context_.crashes.observer().responded(target_process());
+    context_.crashes.observer().responded(in_flight_->target().process());
+    record_statements();
     return true;
 }
 
+void forward_session::record_statements()
+{
+    auto const& target = in_flight_->pointer();
+    if (!response_.is_leaving || target->statement.is_leaving)
+        return;
+    spdlog::info(
+        "[upstreams] upstream={} started_ms={} leaving, said in the response to request={}",
+        target->entry.id,
+        target->entry.started_ms,
+        request_.id);
+    context_.metrics.count_statement("leaving");
+    context_.directory.record_leaving(target);
+}
+
 void forward_session::on_body(std::string_view data)
 {
     auto const limit = context_.settings.response_limit_bytes;
@@ -192,12 +207,6 @@
            context_.retry_budget_of(service_->name).try_retry({true, false});
 }
 
-forwarding::upstream_process forward_session::target_process() const
-{
-    auto const& target = in_flight_->target().entry;
-    return {target.id, target.started_ms};
-}
-
 void forward_session::report_answer()
 {
     context_.crashes.observer().answered(service_->name, features_);
@@ -207,7 +216,7 @@
 {
     // A request that crashes an upstream gets no part of its answer.
     if (events_.event_count() == 0)
-        context_.crashes.observer().lost(target_process(), service_->name, features_);
+        context_.crashes.observer().lost(in_flight_->target().process(), service_->name, features_);
 }
 
 void forward_session::log_lost_attempt(exchange_outcome outcome) const
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -117,11 +117,12 @@
           [this](forwarding::upstream const& it)
           {
               spdlog::info(
-                  "[upstreams] upstream={} service={} address={} draining={} gone={}",
+                  "[upstreams] upstream={} service={} address={} draining={} leaving={} gone={}",
                   it.entry.id,
                   it.entry.service,
                   it.entry.address,
                   it.entry.is_draining,
+                  it.statement.is_leaving,
                   it.is_gone);
               are_relays_outdated_ = true;
               if (it.accepts_work())
--- a/services/gateway/gateway_metrics.cpp
+++ b/services/gateway/gateway_metrics.cpp
@@ -101,6 +101,16 @@
         .Set(static_cast<double>(relays));
 }
 
+void gateway_metrics::count_statement(std::string_view statement)
+{
+    metrics_
+        .counter(
+            "almondcart_upstream_statements_total",
+            "Statements of upstreams about themselves in responses",
+            {{"statement", std::string(statement)}})
+        .Increment();
+}
+
 void gateway_metrics::count_crash_report(bool is_crash)
 {
     metrics_
--- a/services/gateway/gateway_metrics.hpp
+++ b/services/gateway/gateway_metrics.hpp
@@ -24,6 +24,9 @@
     void set_gauges(std::size_t connections, std::size_t opened, std::int64_t store_calls);
     void set_store_path(bool is_direct, std::size_t relays);
 
+    /// Counts what an upstream said of itself in a response.
+    void count_statement(std::string_view statement);
+
     /// Counts a report to the other gateways: of a crash, or of an answer to a suspected request.
     void count_crash_report(bool is_crash);
     void set_quarantined(std::size_t features);
--- a/tests/forwarding.cpp
+++ b/tests/forwarding.cpp
@@ -106,6 +106,56 @@
     cr_assert(directory.of_service("models").empty());
 }
 
+// Guards against sending work to an upstream that said that it leaves, because the registry is
+// behind, or lists it again after an outage of the store.
+Test(upstream_directory, a_registry_entry_does_not_revive_a_process_that_leaves)
+{
+    upstream_directory directory;
+    directory.apply("i-1", engine("i-1", "a"));
+    auto const first = directory.of_service("models").at(0);
+    directory.record_leaving(first);
+    auto entry = engine("i-1", "a");
+    entry.slots = 4;
+    directory.apply("i-1", entry);
+    cr_assert_not(directory.of_service("models").at(0)->accepts_work());
+    directory.replace_all({});
+    directory.replace_all({{"i-1", entry}});
+    cr_assert_not(directory.of_service("models").at(0)->accepts_work());
+}
+
+// Guards against a new process that gets no work, because another one had its id or address before.
+Test(upstream_directory, a_new_process_does_not_inherit_that_another_left)
+{
+    upstream_directory directory;
+    directory.apply("i-1", engine("i-1", "a"));
+    auto const first = directory.of_service("models").at(0);
+    auto next = engine("i-1", "a");
+    next.started_ms = 2;
+    directory.apply("i-1", next);
+    // A response of the old process that was on its way.
+    directory.record_leaving(first);
+    cr_assert(directory.of_service("models").at(0)->accepts_work());
+    directory.apply("i-2", engine("i-2", "a"));
+    cr_assert(directory.all().at("i-2")->accepts_work());
+}
+
+// Guards against memory that grows with the number of upstreams that ever left.
+Test(upstream_directory, the_number_of_remembered_processes_is_bounded)
+{
+    upstream_directory directory;
+    for (int n = 0; n < 5000; ++n)
+    {
+        auto const id = "i-" + std::to_string(n);
+        directory.apply(id, engine(id, "a"));
+        directory.record_leaving(directory.all().at(id));
+        directory.apply(id, std::nullopt);
+    }
+    directory.apply("i-0", engine("i-0", "a"));
+    directory.apply("i-4999", engine("i-4999", "a"));
+    cr_assert(directory.all().at("i-0")->accepts_work());
+    cr_assert_not(directory.all().at("i-4999")->accepts_work());
+}
+
 Test(upstream_directory, a_snapshot_removes_what_it_lacks)
 {
     std::vector<std::string> changes;
--- a/utilities/standins/platform/upstream_standin.cpp
+++ b/utilities/standins/platform/upstream_standin.cpp
@@ -59,9 +59,12 @@
 
 http_headers upstream_standin::response_headers(http1::inbound_exchange const& exchange) const
 {
-    return {
+    http_headers headers{
         {"X-Almondcart-Request-Id", header_value(exchange, "X-Almondcart-Request-Id")},
         {"X-Almondcart-Response-Seal", "seal-" + id_}};
+    if (is_leaving_)
+        headers.emplace_back("Server-Leaving", "1");
+    return headers;
 }
 
 void upstream_standin::handle(std::shared_ptr<http1::inbound_exchange> exchange)
--- a/utilities/standins/platform/upstream_standin.hpp
+++ b/utilities/standins/platform/upstream_standin.hpp
@@ -46,6 +46,9 @@
 
     void set_mode(upstream_mode mode) { mode_ = mode; }
 
+    /// While set, each response says that the upstream is leaving.
+    void set_leaving(bool is_leaving) { is_leaving_ = is_leaving; }
+
     static constexpr int event_count = 6;
 
     /// Number of executions by request id.
@@ -93,6 +96,7 @@
     std::string id_;
     upstream_mode mode_ = upstream_mode::single_body;
     bool are_streams_paused_ = false;
+    bool is_leaving_ = false;
     std::map<std::string, int> execution_counts_;
     std::function<void(std::string const&)> execution_callback_;
     std::function<bool(http1::request_head const&)> crash_condition_; ///< may be empty
