Gateway: Keep the pauses that upstreams ask for in refusals

The gateway left it out for 100 ms by its own measure. The codec decodes the pause (503 only, a positive number of seconds, at most an hour); it is kept for the process with its other statements, and the picker leaves the upstream out until its end, even if no other is left. When all pause, requests are refused at once with the earliest end and some jitter.

Seen failing with the header ignored: an_upstream_gets_no_request_during_its_pause; requests_are_refused_until_the_end_of_a_common_pause did not end then. The others are tests of new code.

--- a/libraries/forwarding/include/almondcart/forwarding/exchange_codec.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/exchange_codec.hpp
@@ -46,12 +46,13 @@
 struct upstream_response
 {
     int status = 0;
-    bool is_not_executed = false; ///< the upstream states that it did not run the request
-    bool is_misdirected = false;  ///< another upstream has taken over the address
-    bool is_leaving = false;      ///< the upstream wants no more requests
-    bool is_signed = false;       ///< carries the upstream's signature
-    std::string request_id;       ///< id of the request that the response belongs to
-    header_list forwarded;        ///< headers passed to the client unchanged
+    bool is_not_executed = false;  ///< the upstream states that it did not run the request
+    bool is_misdirected = false;   ///< another upstream has taken over the address
+    bool is_leaving = false;       ///< the upstream wants no more requests
+    std::optional<duration> pause; ///< the upstream wants no requests for so long
+    bool is_signed = false;        ///< carries the upstream's signature
+    std::string request_id;        ///< id of the request that the response belongs to
+    header_list forwarded;         ///< headers passed to the client unchanged
 
     bool is_success() const
     {
--- a/libraries/forwarding/include/almondcart/forwarding/upstream_directory.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/upstream_directory.hpp
@@ -35,6 +35,7 @@
 struct upstream_statement
 {
     bool is_leaving = false; ///< wants no more requests
+    instant paused_until{};  ///< wants no requests before
 };
 
 /// Upstream known to this gateway.
@@ -46,6 +47,8 @@
 
     bool accepts_work() const { return !is_gone && !entry.is_draining && !statement.is_leaving; }
 
+    bool is_paused(instant now) const { return now < statement.paused_until; }
+
     upstream_process process() const { return {entry.id, entry.started_ms}; }
 };
 
@@ -69,6 +72,10 @@
     /// registry still lists it as ready, or removes it and lists it again.
     void record_leaving(upstream_pointer const& target);
 
+    /// The upstream asked in a response for no requests before `end`. A shorter pause does not end
+    /// a longer one.
+    void record_pause(upstream_pointer const& target, instant end);
+
     std::vector<upstream_pointer> const& of_service(std::string_view service) const;
     std::size_t size() const { return by_id_.size(); }
     std::map<std::string, upstream_pointer> const& all() const { return by_id_; }
--- a/libraries/forwarding/include/almondcart/forwarding/upstream_picker.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/upstream_picker.hpp
@@ -54,9 +54,13 @@
         upstream_picker_settings settings,
         upstream_directory const& directory);
 
-    /// Returns the best upstream, or null if the service has none that accepts work.
+    /// Returns the best upstream, or null if the service has none that accepts work now.
     upstream_pointer pick(pick_request const& request);
 
+    /// Returns when the first pause ends if all upstreams of the service that accept work are
+    /// paused, or nothing if one is not.
+    std::optional<instant> common_pause_end(std::string_view service) const;
+
     /// Registers a request to `target` until the returned guard is destroyed.
     std::unique_ptr<in_flight_guard> begin(upstream_pointer target, prompt_info const* prompt);
 
--- a/libraries/forwarding/src/upstream_directory.cpp
+++ b/libraries/forwarding/src/upstream_directory.cpp
@@ -1,5 +1,6 @@
 #include <almondcart/forwarding/upstream_directory.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace almondcart::forwarding {
@@ -58,6 +59,13 @@
         on_change_(*target);
 }
 
+void upstream_directory::record_pause(upstream_pointer const& target, instant end)
+{
+    auto& paused_until = target->statement.paused_until;
+    paused_until = std::max(paused_until, end);
+    remember(*target);
+}
+
 void upstream_directory::remember(upstream const& target)
 {
     auto const [it, is_new] = statements_.insert_or_assign(target.process(), target.statement);
--- a/libraries/forwarding/src/upstream_picker.cpp
+++ b/libraries/forwarding/src/upstream_picker.cpp
@@ -65,7 +65,8 @@
     upstream_pointer next_unblocked;
     for (auto const& it : directory_.of_service(request.service))
     {
-        if (!it->accepts_work() || is_excluded(request, it->entry.id))
+        // A pause that an upstream asked for holds, unlike blocks, which are guesses.
+        if (!it->accepts_work() || it->is_paused(now) || is_excluded(request, it->entry.id))
             continue;
         auto const& state = state_of(it->entry.id);
         if (state.health.is_available(now))
@@ -101,6 +102,23 @@
     return best;
 }
 
+std::optional<instant> upstream_picker::common_pause_end(std::string_view service) const
+{
+    auto const now = clock_();
+    std::optional<instant> earliest;
+    for (auto const& it : directory_.of_service(service))
+    {
+        if (!it->accepts_work())
+            continue;
+        if (!it->is_paused(now))
+            return std::nullopt;
+        auto const end = it->statement.paused_until;
+        if (!earliest || end < *earliest)
+            earliest = end;
+    }
+    return earliest;
+}
+
 double upstream_picker::cost(
     upstream const& candidate,
     upstream_state const& state,
--- a/services/gateway/forward_session.cpp
+++ b/services/gateway/forward_session.cpp
@@ -242,7 +242,7 @@
     {
         if (execution_ == execution_state::may_have_run)
             fail(result_code::upstream_lost, "no other upstream accepts the request");
-        else
+        else if (!refuse_if_paused())
             refuse(result_code::no_upstream, "no upstream accepts requests", retry_after());
         return false;
     }
@@ -263,6 +263,20 @@
     return true;
 }
 
+bool forward_session::refuse_if_paused()
+{
+    auto const end = context_.picker.common_pause_end(service_->name);
+    if (!end)
+        return false;
+    // Clients that come back at different times do not end the pause with a burst.
+    auto const jitter = context_.random.between(duration(0), retry_after_long);
+    refuse(
+        result_code::overloaded,
+        "all upstreams asked for a pause",
+        *end - context_.loop.now() + jitter);
+    return true;
+}
+
 std::string forward_session::encode_request() const
 {
     auto const resume_after =
--- a/services/gateway/forward_session.hpp
+++ b/services/gateway/forward_session.hpp
@@ -42,11 +42,13 @@
     bool refuse_if_quarantined();
     void attempt();
     bool acquire_connection();
+    bool refuse_if_paused();
     void send();
     std::string encode_request() const;
 
     bool on_head(http1::response_head const& head);
     void record_statements();
+    void log_statement(std::string_view statement) const;
     void on_body(std::string_view data);
     void abandon_response(std::string_view reason);
     void on_end(http1::exchange_outcome outcome);
--- a/services/gateway/forward_session_response.cpp
+++ b/services/gateway/forward_session_response.cpp
@@ -41,15 +41,29 @@
 void forward_session::record_statements()
 {
     auto const& target = in_flight_->pointer();
-    if (!response_.is_leaving || target->statement.is_leaving)
-        return;
+    if (response_.is_leaving && !target->statement.is_leaving)
+    {
+        log_statement("leaving");
+        context_.directory.record_leaving(target);
+    }
+    if (response_.pause)
+    {
+        log_statement("pause");
+        context_.directory.record_pause(target, context_.loop.now() + *response_.pause);
+    }
+}
+
+void forward_session::log_statement(std::string_view statement) const
+{
+    auto const& target = in_flight_->target().entry;
     spdlog::info(
-        "[upstreams] upstream={} started_ms={} leaving, said in the response to request={}",
-        target->entry.id,
-        target->entry.started_ms,
+        "[upstreams] upstream={} started_ms={} says {} ms={} in the response to request={}",
+        target.id,
+        target.started_ms,
+        statement,
+        response_.pause.value_or(duration(0)).count(),
         request_.id);
-    context_.metrics.count_statement("leaving");
-    context_.directory.record_leaving(target);
+    context_.metrics.count_statement(statement);
 }
 
 void forward_session::on_body(std::string_view data)
@@ -196,7 +210,7 @@
         attempt();
     else if (execution_ == execution_state::may_have_run)
         fail(result_code::upstream_lost, "no upstream had capacity for a retry");
-    else
+    else if (!refuse_if_paused())
         refuse(result_code::overloaded, "the upstream is at capacity", retry_after());
 }
 
--- a/tests/forwarding.cpp
+++ b/tests/forwarding.cpp
@@ -123,6 +123,29 @@
     cr_assert_not(directory.of_service("models").at(0)->accepts_work());
 }
 
+// Guards against an upstream that gets requests in its pause, because its entry lapsed and returned
+// while the store was away, or because a shorter pause came later.
+Test(upstream_picker, a_pause_holds_until_its_end)
+{
+    picker_fixture it;
+    it.directory.apply("i-1", engine("i-1", "a"));
+    it.directory.record_pause(it.directory.all().at("i-1"), it.clock.now() + duration(1000));
+    it.directory.record_pause(it.directory.all().at("i-1"), it.clock.now() + duration(10));
+    cr_assert_eq(it.pick(nullptr), "");
+    cr_assert(*it.picker.common_pause_end("models") == it.clock.now() + duration(1000));
+    it.directory.replace_all({});
+    it.directory.replace_all({{"i-1", engine("i-1", "a")}});
+    cr_assert_eq(it.pick(nullptr), "");
+    auto next = engine("i-1", "a");
+    next.started_ms = 2;
+    it.directory.apply("i-1", next);
+    cr_assert_eq(it.pick(nullptr), "i-1");
+    it.directory.apply("i-1", engine("i-1", "a"));
+    it.clock.advance(duration(1000));
+    cr_assert_eq(it.pick(nullptr), "i-1");
+    cr_assert_not(it.picker.common_pause_end("models").has_value());
+}
+
 // Guards against a new process that gets no work, because another one had its id or address before.
 Test(upstream_directory, a_new_process_does_not_inherit_that_another_left)
 {
--- a/tests/gateway_statements.cpp
+++ b/tests/gateway_statements.cpp
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 
+#include <set>
 #include <string>
 
 #include "support/gateway_fixture.hpp"
@@ -93,3 +94,68 @@
     cr_assert_not(refused.header("Retry-After").empty());
     cr_assert_leq(sent, 3);
 }
+
+// Guards against requests that reach an upstream during the pause that it asked for, while another
+// one serves them.
+Test(gateway_statements, an_upstream_gets_no_request_during_its_pause)
+{
+    statement_fixture it;
+    it.first.set_mode(upstream_mode::not_executed);
+    it.first.set_retry_after("1.5");
+    it.send_until_first_answers("/safe/x");
+    auto const end = it.loop.now() + duration(1400);
+    it.first.set_mode(upstream_mode::by_path);
+    auto const before = it.first.request_heads().size();
+    while (it.loop.now() < end)
+        cr_assert_eq(it.ask("/unsafe/x", "r-1").head.status, 200);
+    cr_assert_eq(it.first.request_heads().size(), before);
+    it.send_until_first_answers("/safe/x");
+}
+
+// Guards against requests that wait, or come back too early or all at once, while all upstreams
+// pause.
+Test(gateway_statements, requests_are_refused_until_the_end_of_a_common_pause)
+{
+    statement_fixture it;
+    it.first.set_retry_after("2");
+    it.second.set_retry_after("3");
+    for (auto* upstream : {&it.first, &it.second})
+        upstream->set_mode(upstream_mode::not_executed);
+    it.run_until(
+        [&]
+        {
+            it.ask("/unsafe/x", "r-1");
+            return it.output().find("all upstreams asked for a pause") != std::string::npos;
+        });
+    auto const count = [&]
+    { return it.first.request_heads().size() + it.second.request_heads().size(); };
+    auto const before = count();
+    std::set<std::string> values;
+    for (int n = 0; n < 20; ++n)
+    {
+        auto const refused = it.ask("/unsafe/x", "r-2");
+        cr_assert_eq(refused.head.status, 503);
+        auto const seconds = std::stod(refused.header("Retry-After"));
+        cr_assert_gt(seconds, 1.0);
+        cr_assert_lt(seconds, 3.0);
+        values.insert(refused.header("Retry-After"));
+    }
+    cr_assert_eq(count(), before);
+    cr_assert_gt(values.size(), 10);
+}
+
+// Guards against a process that ends, or an upstream that is left out for ever, by odd values.
+Test(gateway_statements, odd_pauses_are_ignored)
+{
+    statement_fixture it;
+    for (auto const* value :
+         {"-5", "nan", "-inf", "soon", "0", "1e", "1;2", "Sat, 05 Dec 2026 08:00:00 GMT"})
+    {
+        it.first.set_retry_after(value);
+        it.first.set_mode(upstream_mode::not_executed);
+        it.send_until_first_answers("/safe/x");
+        it.first.set_mode(upstream_mode::by_path);
+        it.send_until_first_answers("/safe/x");
+    }
+    cr_assert_not(it.gateway->try_wait().has_value());
+}
--- a/tests/platform.cpp
+++ b/tests/platform.cpp
@@ -146,6 +146,29 @@
             decode_upstream("i-1", entry("80", members)).ok(), "%s", members.substr(0, 40).c_str());
 }
 
+// Guards against statements of an upstream that are missed, taken from another upstream at its
+// address, or out of bounds.
+Test(exchange_headers, decodes_what_upstreams_say_of_themselves)
+{
+    auto const codec = create_exchange_codec();
+    auto const decode = [&](int status, std::string const& name, std::string const& value) {
+        return codec.decode_response(status, {{name, value}});
+    };
+    cr_assert(decode(200, "server-leaving", "1").is_leaving);
+    cr_assert_not(decode(200, "Server-Leaving", "0").is_leaving);
+    cr_assert_not(decode(421, "Server-Leaving", "1").is_leaving);
+    auto const pause = [&](std::string const& value)
+    { return decode(503, "Retry-After", value).pause; };
+    cr_assert(pause("2") == duration(2000));
+    cr_assert(pause("0.25") == duration(250));
+    cr_assert(pause("0.0001") == duration(1));
+    cr_assert(pause("1e300") == duration(3'600'000));
+    cr_assert(pause("inf") == duration(3'600'000));
+    for (auto const* value : {"", "0", "-1", "nan", "-inf", "soon", "2 s", "0x"})
+        cr_assert_not(pause(value).has_value(), "%s", value);
+    cr_assert_not(decode(200, "Retry-After", "2").pause.has_value());
+}
+
 // Guards against headers with which a client could impersonate the gateway, and against forwarding
 // API keys to an upstream.
 Test(exchange_headers, replaces_what_only_the_gateway_may_set)
--- a/utilities/standins/platform/upstream_standin.cpp
+++ b/utilities/standins/platform/upstream_standin.cpp
@@ -73,8 +73,11 @@
     auto const request_id = header_value(*exchange, "X-Almondcart-Request-Id");
     if (mode_ == upstream_mode::not_executed)
     {
-        exchange->respond(
-            503, {{"X-Almondcart-Request-Id", request_id}, {"X-Almondcart-Not-Executed", "1"}}, "");
+        http_headers headers{
+            {"X-Almondcart-Request-Id", request_id}, {"X-Almondcart-Not-Executed", "1"}};
+        if (!retry_after_.empty())
+            headers.emplace_back("Retry-After", retry_after_);
+        exchange->respond(503, headers, "");
         return;
     }
     ++execution_counts_[request_id];
--- a/utilities/standins/platform/upstream_standin.hpp
+++ b/utilities/standins/platform/upstream_standin.hpp
@@ -49,6 +49,9 @@
     /// While set, each response says that the upstream is leaving.
     void set_leaving(bool is_leaving) { is_leaving_ = is_leaving; }
 
+    /// Sets the `Retry-After` of refusals, in the mode `not_executed`; empty for none.
+    void set_retry_after(std::string seconds) { retry_after_ = std::move(seconds); }
+
     static constexpr int event_count = 6;
 
     /// Number of executions by request id.
@@ -97,6 +100,7 @@
     upstream_mode mode_ = upstream_mode::single_body;
     bool are_streams_paused_ = false;
     bool is_leaving_ = false;
+    std::string retry_after_;
     std::map<std::string, int> execution_counts_;
     std::function<void(std::string const&)> execution_callback_;
     std::function<bool(http1::request_head const&)> crash_condition_; ///< may be empty
