Soak: Let upstreams leave and ask for pauses without the registry knowing

Upstreams of the soak now say in responses that they leave, four seconds before a new process takes over, and ask for pauses in refusals; statement_checker compares what reaches them with what each gateway had been told, from the moment at which a client saw that it was. A restart or pause of the gateway ends what it was told.

--- a/tests/soak/invariant_checker.hpp
+++ b/tests/soak/invariant_checker.hpp
@@ -49,6 +49,8 @@
     void record_request(call const& sent);
     void record_response(call const& ended);
 
+    void add_violation(std::string const& id, std::string const& what);
+
     std::vector<std::string> const& violations() const { return violations_; }
     std::int64_t used_tokens() const { return used_tokens_; }
     std::int64_t total_tokens() const { return total_tokens_; }
@@ -66,7 +68,6 @@
     void check_success(call const& ended);
     void check_stream(call const& ended);
     void count_used_tokens(std::int64_t tokens);
-    void add_violation(std::string const& id, std::string const& what);
 
     std::map<std::string, request> requests_;
     std::map<int, int> statuses_;
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -32,6 +32,7 @@
     : settings_(std::move(settings))
     , random_(settings_.seed * 2 + 1)
     , relay_random_(hash64("relay", settings_.seed))
+    , statement_random_(hash64("statement", settings_.seed))
     , relay_address_(test_support::find_free_address())
 {
     start_relay();
@@ -42,6 +43,8 @@
         it.server->set_mode(standins::upstream_mode::by_path);
         it.server->on_execution([this, id = it.server->id()](std::string const& request)
                                 { checker_.record_run(id, request); });
+        it.server->on_arrival([this, n = upstreams_.size()](std::string const& request)
+                              { check_arrival(n, request); });
         it.link = std::make_unique<faulty_link>(loop_, it.server->address());
         upstreams_.push_back(std::move(it));
     }
@@ -74,6 +77,7 @@
 
 void soak_fleet::start(gateway& it)
 {
+    forget_statements_to(it);
     Json::Value settings(Json::objectValue);
     settings["name"] = it.name;
     settings["availability_zone"] = "zone-1";
@@ -202,6 +206,7 @@
             std::to_string(it.current.input_tokens) + "," + std::to_string(output_limit_tokens));
     }
     checker_.record_request(it.current);
+    statements_.record_request(it.current.id, it.gateway, loop_.now());
     http1::outbound_connection::exchange_callbacks callbacks;
     callbacks.on_head = [this, client](http1::response_head const& head)
     {
@@ -223,6 +228,15 @@
     it.current.end = end;
     it.is_waiting = false;
     checker_.record_response(it.current);
+    constexpr std::string_view seal_prefix = "seal-";
+    auto const seal = find_header(it.current.head.headers, "X-Almondcart-Response-Seal");
+    bool const is_leaving =
+        seal && find_header(it.current.head.headers, "Server-Leaving").has_value();
+    statements_.record_response(
+        it.current.id,
+        it.current.head.status,
+        is_leaving ? std::string(seal->substr(seal_prefix.size())) : std::string(),
+        loop_.now());
     bool const is_success = end == exchange_outcome::complete && it.current.head.status == 200;
     if (!are_faults_active_ && is_success)
         served_[it.gateway] = true;
@@ -255,10 +269,11 @@
     it.process->send_signal(SIGSTOP);
     loop_.after(
         random_.between(min_fault_time, max_fault_time),
-        [&it]
+        [this, &it]
         {
             it.process->send_signal(SIGCONT);
             it.is_busy = false;
+            forget_statements_to(it);
         });
 }
 
@@ -382,6 +397,75 @@
         });
 }
 
+void soak_fleet::inject_statement(upstream& it)
+{
+    if (!are_faults_active_)
+        return;
+    if (statement_random_.next() % 2 == 0)
+        leave(it);
+    else
+        ask_for_pause(it);
+    auto const n = static_cast<std::size_t>(statement_random_.next()) % upstreams_.size();
+    loop_.after(
+        statement_random_.between(min_fault_time, 2 * max_fault_time),
+        [this, n] { inject_statement(upstreams_[n]); });
+}
+
+void soak_fleet::leave(upstream& it)
+{
+    constexpr duration time_to_new_process{4'000};
+    log_fault("leaving, not registered, " + it.server->id());
+    it.server->set_leaving(true);
+    loop_.after(
+        time_to_new_process,
+        [this, &it]
+        {
+            it.server->set_leaving(false);
+            it.server->restart();
+            statements_.forget_upstream(it.server->id());
+            register_upstream(it, "ready");
+        });
+}
+
+void soak_fleet::ask_for_pause(upstream& it)
+{
+    constexpr duration refusing_time{300};
+    constexpr double milliseconds_per_second = 1000;
+    it.pause = statement_random_.between(min_fault_time, max_fault_time);
+    auto const seconds = static_cast<double>(it.pause.count()) / milliseconds_per_second;
+    log_fault("pause of " + std::to_string(it.pause.count()) + " ms, " + it.server->id());
+    it.server->set_retry_after(std::to_string(seconds));
+    it.server->set_mode(standins::upstream_mode::not_executed);
+    loop_.after(
+        refusing_time,
+        [&it]
+        {
+            it.pause = duration(0);
+            it.server->set_retry_after({});
+            it.server->set_mode(standins::upstream_mode::by_path);
+        });
+}
+
+void soak_fleet::check_arrival(std::size_t upstream, std::string const& request)
+{
+    auto const& it = upstreams_[upstream];
+    auto const now = loop_.now();
+    auto const violation = statements_.record_arrival(it.server->id(), request, now);
+    if (!violation.empty())
+        checker_.add_violation(request, violation);
+    if (it.pause > duration(0))
+        statements_.record_pause(it.server->id(), request, now + it.pause);
+}
+
+void soak_fleet::forget_statements_to(gateway const& it)
+{
+    for (std::size_t n = 0; n < gateways_.size(); ++n)
+    {
+        if (gateways_[n].get() == &it)
+            statements_.forget_gateway(n);
+    }
+}
+
 void soak_fleet::top_up_account()
 {
     log_fault("top-up");
@@ -441,6 +525,7 @@
         send_next(i);
     loop_.after(duration(1'000), [this] { inject_fault(); });
     loop_.after(duration(2'000), [this] { inject_relay_fault(); });
+    loop_.after(duration(1'500), [this] { inject_statement(upstreams_.front()); });
     loop_.every(duration(100), [this] { restart_reloaded(); });
     bool is_time_up = false;
     loop_.after(settings_.time, [&] { is_time_up = true; });
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -15,6 +15,7 @@
 
 #include "faulty_link.hpp"
 #include "invariant_checker.hpp"
+#include "statement_checker.hpp"
 #include "support/child_process.hpp"
 
 namespace almondcart::soak {
@@ -64,6 +65,7 @@
     {
         std::unique_ptr<standins::upstream_standin> server;
         std::unique_ptr<faulty_link> link;
+        duration pause{0}; ///< that its refusals ask for
     };
 
     struct client
@@ -95,6 +97,11 @@
     void inject_link_fault(faulty_link& link, std::string const& name);
     void inject_store_fault();
     void inject_upstream_fault(upstream& it);
+    void inject_statement(upstream& it);
+    void leave(upstream& it);
+    void ask_for_pause(upstream& it);
+    void check_arrival(std::size_t upstream, std::string const& request);
+    void forget_statements_to(gateway const& it);
     void top_up_account();
     void stop_faults();
     void log_fault(std::string const& what);
@@ -102,10 +109,13 @@
 
     soak_settings settings_;
     random_sequence random_;
-    random_sequence relay_random_; ///< separate, so that a seed keeps its faults of the gateways
+    /// Separate, so that a seed keeps its faults of the gateways.
+    random_sequence relay_random_;
+    random_sequence statement_random_;
     event_loop loop_;
     standins::store_standin store_{loop_};
     invariant_checker checker_;
+    statement_checker statements_;
     std::vector<std::unique_ptr<gateway>> gateways_;
     std::string relay_address_;
     std::optional<test_support::child_process> relay_;
--- a/tests/soak_checks.cpp
+++ b/tests/soak_checks.cpp
@@ -1,6 +1,9 @@
 #include <criterion/criterion.h>
 
+#include <string>
+
 #include "soak/invariant_checker.hpp"
+#include "soak/statement_checker.hpp"
 
 using namespace almondcart;
 using namespace almondcart::soak;
@@ -92,3 +95,48 @@
     checker.record_run("i-1", "b");
     cr_assert_eq(checker.violations().size(), 2);
 }
+
+// Guards against a soak that does not notice work for an upstream that said that it leaves.
+Test(soak_checks, detects_requests_to_an_upstream_that_leaves)
+{
+    instant const start{duration(10'000)};
+    auto const violation = [&](duration sent_after, bool is_restarted)
+    {
+        statement_checker checker;
+        checker.record_request("a", 0, start);
+        checker.record_response("a", 200, "i-1", start);
+        if (is_restarted)
+            checker.forget_gateway(0);
+        checker.record_request("b", 0, start + sent_after);
+        return checker.record_arrival("i-1", "b", start + sent_after);
+    };
+    cr_assert_not(violation(duration(2001), false).empty());
+    cr_assert(violation(duration(2000), false).empty());
+    cr_assert(violation(duration(2001), true).empty());
+}
+
+// Guards against a soak that does not notice requests in a pause.
+Test(soak_checks, detects_requests_in_a_pause)
+{
+    instant const start{duration(10'000)};
+    auto const count = [&](int status, duration from, std::size_t gateway)
+    {
+        statement_checker checker;
+        checker.record_request("a", 0, start);
+        checker.record_pause("i-1", "a", start + duration(2000));
+        checker.record_response("a", status, {}, start);
+        int violations = 0;
+        for (int n = 0; n < 5; ++n)
+        {
+            auto const id = "b" + std::to_string(n);
+            checker.record_request(id, gateway, start + from);
+            violations += checker.record_arrival("i-1", id, start + from).empty() ? 0 : 1;
+        }
+        return violations;
+    };
+    cr_assert_eq(count(503, duration(500), 0), 3);
+    cr_assert_eq(count(503, duration(499), 0), 0);
+    cr_assert_eq(count(503, duration(2000), 0), 0);
+    cr_assert_eq(count(503, duration(500), 1), 0);
+    cr_assert_eq(count(502, duration(500), 0), 0);
+}
--- a/utilities/standins/platform/upstream_standin.cpp
+++ b/utilities/standins/platform/upstream_standin.cpp
@@ -53,7 +53,7 @@
     entry["zone"] = "zone-1";
     entry["slots"] = 8;
     entry["state"] = state;
-    entry["born"] = 1 + crash_count_;
+    entry["born"] = start_count_;
     return to_compact_json(entry);
 }
 
@@ -71,6 +71,8 @@
 {
     request_heads_.push_back(exchange->head());
     auto const request_id = header_value(*exchange, "X-Almondcart-Request-Id");
+    if (arrival_callback_)
+        arrival_callback_(request_id);
     if (mode_ == upstream_mode::not_executed)
     {
         http_headers headers{
@@ -156,6 +158,7 @@
 void upstream_standin::crash(http1::inbound_exchange& exchange)
 {
     ++crash_count_;
+    restart();
     exchange.abort();
     crash_callback_();
 }
--- a/utilities/standins/platform/upstream_standin.hpp
+++ b/utilities/standins/platform/upstream_standin.hpp
@@ -75,6 +75,15 @@
 
     int crash_count() const { return crash_count_; }
 
+    /// Sets a callback for each request that arrives, executed or not.
+    void on_arrival(std::function<void(std::string const& id)> callback)
+    {
+        arrival_callback_ = std::move(callback);
+    }
+
+    /// Lets registry entries name a new process from now on.
+    void restart() { ++start_count_; }
+
     /// Request lines and headers of all requests, executed or not.
     std::vector<http1::request_head> const& request_heads() const { return request_heads_; }
 
@@ -103,6 +112,8 @@
     std::string retry_after_;
     std::map<std::string, int> execution_counts_;
     std::function<void(std::string const&)> execution_callback_;
+    std::function<void(std::string const&)> arrival_callback_;
+    int start_count_ = 1;
     std::function<bool(http1::request_head const&)> crash_condition_; ///< may be empty
     std::function<void()> crash_callback_;
     int crash_count_ = 0;
