Forwarding: Do not suspect popular requests in an outage of all upstreams

Found by reading the fix of the repeated crash request: contents were cleared by answers only, so a content that many callers send (a hot look-up) could be quarantined for ten minutes when three processes of upstreams were lost, apart in time, with nobody left to answer in between. Contents that this gateway saw answered lately are now left out of reports, as prompt parts already were; both kinds are remembered apart, because most contents come once. a_popular_request_is_not_suspected_in_an_outage_of_all_upstreams fails if contents are not left out and passes now; the other tests of crash requests pass.

--- a/libraries/forwarding/include/almondcart/forwarding/crash_observer.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/crash_observer.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <almondcart/core/clock.hpp>
-#include <almondcart/forwarding/answered_parts.hpp>
+#include <almondcart/forwarding/answered_features.hpp>
 #include <almondcart/forwarding/crash_record.hpp>
 
 #include <cstddef>
@@ -30,7 +30,7 @@
     /// Requests in one report.
     std::size_t report_limit = 32;
 
-    answered_parts_settings answered;
+    answered_features_settings answered;
 };
 
 /// Turns what happens to the requests of one gateway into reports about crashes of upstreams.
@@ -74,7 +74,7 @@
     void tick();
 
 private:
-    bool is_known_harmless(std::string const& service, request_feature const& feature);
+    answered_features& answered_of(feature_kind kind);
 
     struct loss
     {
@@ -86,7 +86,8 @@
 
     crash_observer_settings settings_;
     hooks hooks_;
-    answered_parts answered_;
+    answered_features answered_parts_;
+    answered_features answered_contents_; ///< apart, because most contents come once
     std::map<upstream_process, loss> losses_;
     /// Time of the last report that requests with a feature are answered.
     std::map<std::pair<std::string, request_feature>, instant> answer_reports_;
--- a/libraries/forwarding/src/answered_parts.cpp
+++ b/libraries/forwarding/src/answered_features.cpp
@@ -1,30 +1,39 @@
 #include <almondcart/core/hash.hpp>
-#include <almondcart/forwarding/answered_parts.hpp>
+#include <almondcart/forwarding/answered_features.hpp>
 
 #include <utility>
 
 namespace almondcart::forwarding {
 
-answered_parts::answered_parts(answered_parts_settings settings, clock_function clock)
+namespace {
+
+std::uint64_t hash_of(std::string_view service, request_feature const& feature)
+{
+    return hash64(name_of(feature.kind), hash64(service, feature.id));
+}
+
+} // namespace
+
+answered_features::answered_features(answered_features_settings settings, clock_function clock)
     : settings_(settings)
     , clock_(std::move(clock))
     , rotated_at_(clock_())
 {}
 
-void answered_parts::add(std::string_view service, std::uint64_t part)
+void answered_features::add(std::string_view service, request_feature const& feature)
 {
     rotate_if_due();
-    newer_.insert(hash64(service, part));
+    newer_.insert(hash_of(service, feature));
 }
 
-bool answered_parts::contains(std::string_view service, std::uint64_t part)
+bool answered_features::contains(std::string_view service, request_feature const& feature)
 {
     rotate_if_due();
-    auto const hash = hash64(service, part);
+    auto const hash = hash_of(service, feature);
     return newer_.contains(hash) || older_.contains(hash);
 }
 
-void answered_parts::rotate_if_due()
+void answered_features::rotate_if_due()
 {
     auto const now = clock_();
     auto const age = now - rotated_at_;
--- a/libraries/forwarding/src/crash_observer.cpp
+++ b/libraries/forwarding/src/crash_observer.cpp
@@ -8,7 +8,8 @@
 crash_observer::crash_observer(crash_observer_settings settings, hooks hooks)
     : settings_(settings)
     , hooks_(std::move(hooks))
-    , answered_(settings.answered, hooks_.clock)
+    , answered_parts_(settings.answered, hooks_.clock)
+    , answered_contents_(settings.answered, hooks_.clock)
 {}
 
 void crash_observer::lost(
@@ -27,7 +28,7 @@
     feature_list suspected;
     for (auto const& feature : features)
     {
-        if (!is_known_harmless(service, feature))
+        if (!answered_of(feature.kind).contains(service, feature))
             suspected.push_back(feature);
     }
     bool const is_listed = std::ranges::find(loss.requests, suspected) != loss.requests.end();
@@ -35,9 +36,9 @@
         loss.requests.push_back(std::move(suspected));
 }
 
-bool crash_observer::is_known_harmless(std::string const& service, request_feature const& feature)
+answered_features& crash_observer::answered_of(feature_kind kind)
 {
-    return feature.kind == feature_kind::prompt_part && answered_.contains(service, feature.id);
+    return kind == feature_kind::content ? answered_contents_ : answered_parts_;
 }
 
 void crash_observer::responded(upstream_process const& process)
@@ -67,8 +68,7 @@
     feature_list cleared;
     for (auto const& feature : features)
     {
-        if (feature.kind == feature_kind::prompt_part)
-            answered_.add(service, feature.id);
+        answered_of(feature.kind).add(service, feature);
         if (!hooks_.is_suspect(service, feature))
             continue;
         auto const [it, is_new] = answer_reports_.try_emplace({service, feature}, now);
--- a/tests/crash_quarantine.cpp
+++ b/tests/crash_quarantine.cpp
@@ -433,6 +433,23 @@
     cr_assert(log.front().requests.front() == expected);
 }
 
+// All upstreams lose their connections for some time while many callers send one popular request.
+// Guards against refusing it when the upstreams are back.
+Test(crash_quarantine, a_popular_request_is_not_suspected_in_an_outage_of_all_upstreams)
+{
+    test_time time;
+    std::deque<crash_record> log;
+    test_gateway it(time, log);
+    it.observer.answered(service, {content(1)});
+    for (int n = 0; n < 20; ++n)
+    {
+        it.observer.lost(process(n), service, {content(1)});
+        time.clock.advance(duration(500));
+        it.observer.tick();
+    }
+    cr_assert(log.empty());
+}
+
 // New weights make a part dangerous that was harmless before. Guards against trusting old answers
 // for ever.
 Test(crash_quarantine, a_part_is_suspected_again_some_time_after_its_last_answer)
@@ -452,13 +469,14 @@
 Test(crash_quarantine, the_number_of_remembered_parts_is_bounded)
 {
     test_time time;
-    answered_parts parts({.capacity = 100}, time.clock.function());
+    answered_features parts({.capacity = 100}, time.clock.function());
     for (std::uint64_t n = 0; n < 1000; ++n)
-        parts.add(service, n);
-    cr_assert(parts.contains(service, 999));
-    cr_assert(parts.contains(service, 960));
-    cr_assert_not(parts.contains(service, 800));
-    cr_assert_not(parts.contains("other", 999));
+        parts.add(service, part(n));
+    cr_assert(parts.contains(service, part(999)));
+    cr_assert(parts.contains(service, part(960)));
+    cr_assert_not(parts.contains(service, part(800)));
+    cr_assert_not(parts.contains("other", part(999)));
+    cr_assert_not(parts.contains(service, content(999)));
 }
 
 // Repeats come at any of many gateways, which hear of each other only through a log that is read
