--- a/libraries/http1/include/almondcart/http1/outbound_connection.hpp
+++ b/libraries/http1/include/almondcart/http1/outbound_connection.hpp
@@ -73,7 +73,7 @@
     std::string method_;
     exchange_callbacks callbacks_;
     std::function<void()> idle_end_callback_;
-    std::string input_;      ///< bytes of an incomplete head
+    std::string input_; ///< bytes of an incomplete head
     int exchange_count_ = 0;
     int received_heads_ = 0; ///< of the current exchange, with interim and rejected ones
     std::optional<body_decoder> decoder_;
--- a/tests/gateway_upstream_faults.cpp
+++ b/tests/gateway_upstream_faults.cpp
@@ -113,7 +113,10 @@
     scripted_upstream upstream(
         it.loop,
         [&](std::string const& id, std::string const& earlier_id)
-        { return earlier_id.empty() ? refusal(id) : copy(earlier_id) + answer(id); });
+        {
+            auto const bytes = earlier_id.empty() ? refusal(id) : copy(earlier_id) + answer(id);
+            return scripted_upstream::reply{bytes, false};
+        });
     it.configure(1, 1'000'000);
     it.store.put(
         "keyed.servers", "i-1", it.first.registry_entry("models", "ready", upstream.address()));
@@ -153,3 +156,37 @@
 {
     check_late_copies([](std::string const&) { return refusal(""); });
 }
+
+// Responses without a length or chunks end with their connection. Guards against a stream that
+// ended inside an event and is delivered as complete, and against whole ones that are not.
+Test(
+    gateway_upstream_faults,
+    a_response_that_ends_with_its_connection_is_complete_after_a_whole_event)
+{
+    gateway_fixture it;
+    std::string content;
+    scripted_upstream upstream(
+        it.loop,
+        [&](std::string const& id, std::string const&)
+        {
+            auto const head = "HTTP/1.1 200 OK\r\nX-Almondcart-Request-Id: " + id +
+                              "\r\nX-Almondcart-Response-Seal: seal\r\n\r\n";
+            return scripted_upstream::reply{head + content, true};
+        });
+    it.configure(1, 1'000'000);
+    it.store.put(
+        "keyed.servers", "i-1", it.first.registry_entry("models", "ready", upstream.address()));
+    it.wait_until_ready();
+    content = events(1, 6);
+    auto const whole = it.ask("/stream/x", "r-1");
+    cr_assert(whole.is_complete());
+    cr_assert_eq(whole.body, content);
+    content = events(1, 3) + "id: 4\ndata: wo";
+    auto const broken_off = it.ask("/stream/x", "r-2");
+    cr_assert_not(broken_off.is_complete());
+    cr_assert_eq(broken_off.body, events(1, 3));
+    content = "a plain answer";
+    auto const plain = it.ask("/unsafe/x", "r-3");
+    cr_assert(plain.is_complete());
+    cr_assert_eq(plain.body, content);
+}
--- a/tests/support/scripted_upstream.cpp
+++ b/tests/support/scripted_upstream.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr duration closing_delay{20};
+
 /// Returns the value of the request id's header in the head of a request.
 std::string request_id(std::string_view head)
 {
@@ -66,7 +68,11 @@
         from.input.erase(0, end + end_of_head.size());
         ++request_counts_[id];
         reuse_count_ += from.earlier_id.empty() ? 0 : 1;
-        from.stream->write(script_(id, std::exchange(from.earlier_id, id)));
+        auto const reply = script_(id, std::exchange(from.earlier_id, id));
+        from.stream->write(reply.bytes);
+        // Later, so that the bytes are written before the connection closes.
+        if (reply.is_closing)
+            loop_.after(closing_delay, [&from] { from.stream.reset(); });
     }
 }
 
--- a/tests/support/scripted_upstream.hpp
+++ b/tests/support/scripted_upstream.hpp
@@ -16,9 +16,15 @@
 class scripted_upstream
 {
 public:
-    /// Returns the bytes to send for a request. `earlier_id` is the id of the request before it on
-    /// the connection, or empty.
-    using script = std::function<std::string(std::string const& id, std::string const& earlier_id)>;
+    struct reply
+    {
+        std::string bytes;
+        bool is_closing = false; ///< whether the connection ends after them
+    };
+
+    /// Returns the reply to a request. `earlier_id` is the id of the request before it on the
+    /// connection, or empty.
+    using script = std::function<reply(std::string const& id, std::string const& earlier_id)>;
 
     scripted_upstream(event_loop& loop, script script);
     ~scripted_upstream();
