--- a/services/gateway/crash_reports.cpp
+++ b/services/gateway/crash_reports.cpp
@@ -113,13 +113,8 @@
     platform::topic_follower::hooks hooks;
     hooks.on_snapshot = [this](auto const& records, std::int64_t /*end*/)
     {
-        std::vector<platform::keyed_record const*> ordered;
-        ordered.reserve(records.size());
-        for (auto const& [key, record] : records)
-            ordered.push_back(&record);
-        std::ranges::sort(ordered, {}, [](auto const* it) { return it->offset; });
         quarantine_.clear();
-        for (auto const* record : ordered)
+        for (auto const* record : platform::in_log_order(records))
             apply(*record);
     };
     hooks.on_record = [this](platform::keyed_record const& record) { apply(record); };
--- a/services/gateway/prepaid_log.cpp
+++ b/services/gateway/prepaid_log.cpp
@@ -75,12 +75,7 @@
     hooks.on_snapshot = [this](auto const& records, std::int64_t /*end*/)
     {
         // The ledger requires records in log order.
-        std::vector<platform::keyed_record const*> ordered;
-        ordered.reserve(records.size());
-        for (auto const& [key, record] : records)
-            ordered.push_back(&record);
-        std::ranges::sort(ordered, {}, [](auto const* it) { return it->offset; });
-        for (auto const* record : ordered)
+        for (auto const* record : platform::in_log_order(records))
             apply(*record);
     };
     hooks.on_record = [this](platform::keyed_record const& record) { apply(record); };
--- a/tests/soak/soak_fleet.cpp
+++ b/tests/soak/soak_fleet.cpp
@@ -134,36 +134,10 @@
 {
     prepaid_ = prepaid;
     checker_.set_total_tokens(prepaid);
-    Json::Value config(Json::objectValue);
-    config["version"] = ++version_;
-    auto const add_route = [&](char const* path, char const* kind, bool is_resumable, int limit)
-    {
-        Json::Value route(Json::objectValue);
-        route["name"] = path;
-        route["hostname"] = "club.example";
-        route["pathPrefix"] = path;
-        route["kind"] = kind;
-        route["timeoutMs"] = 2000;
-        route["backend"] = "models";
-        route["attempts"] = limit;
-        route["streamResume"] = is_resumable;
-        config["routes"].append(route);
-    };
-    add_route("/safe/", "safe", false, 2);
-    add_route("/unsafe/", "unsafe", false, 1);
-    add_route("/stream/", "streaming", false, 1);
-    add_route("/resume/", "streaming", true, 2);
-    Json::Value service(Json::objectValue);
-    service["name"] = "models";
-    service["engine"]["slots"] = 8;
-    service["engine"]["stride"] = 4;
-    config["backends"].append(service);
-    Json::Value account(Json::objectValue);
-    account["name"] = "club";
-    account["apiKeys"].append("key-1");
-    account["prepaid"] = Json::Int64(prepaid);
-    config["tenants"].append(account);
-    store_.put("keyed.op", "config", to_compact_json(config));
+    test_support::club_configuration configuration;
+    configuration.version = ++version_;
+    configuration.prepaid_tokens = prepaid;
+    store_.put("keyed.op", "config", configuration.text());
 }
 
 void soak_fleet::register_upstream(upstream const& it, std::string const& state)
--- a/tests/soak/soak_fleet.hpp
+++ b/tests/soak/soak_fleet.hpp
@@ -17,6 +17,7 @@
 #include "invariant_checker.hpp"
 #include "statement_checker.hpp"
 #include "support/child_process.hpp"
+#include "support/club_configuration.hpp"
 
 namespace almondcart::soak {
 
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "child_process.hpp"
+#include "club_configuration.hpp"
 #include "tcp.hpp"
 
 namespace almondcart::test_support {
@@ -77,36 +78,8 @@
     /// Publishes a configuration with one route to the service "models" per kind of request.
     void configure(int version, std::int64_t prepaid, std::string const& key = "key-1")
     {
-        Json::Value config(Json::objectValue);
-        config["version"] = version;
-        auto const add_route = [&](char const* path, char const* kind, bool is_resumable, int limit)
-        {
-            Json::Value route(Json::objectValue);
-            route["name"] = path;
-            route["hostname"] = "club.example";
-            route["pathPrefix"] = path;
-            route["kind"] = kind;
-            route["timeoutMs"] = route_timeout_ms;
-            route["backend"] = "models";
-            route["attempts"] = limit;
-            route["streamResume"] = is_resumable;
-            config["routes"].append(route);
-        };
-        add_route("/safe/", "safe", false, 2);
-        add_route("/unsafe/", "unsafe", false, 1);
-        add_route("/stream/", "streaming", false, 1);
-        add_route("/resume/", "streaming", true, 2);
-        Json::Value service(Json::objectValue);
-        service["name"] = "models";
-        service["engine"]["slots"] = 8;
-        service["engine"]["stride"] = 4;
-        config["backends"].append(service);
-        Json::Value account(Json::objectValue);
-        account["name"] = "club";
-        account["apiKeys"].append(key);
-        account["prepaid"] = Json::Int64(prepaid);
-        config["tenants"].append(account);
-        store.put("keyed.op", "config", to_compact_json(config));
+        club_configuration const configuration{version, prepaid, key, route_timeout_ms};
+        store.put("keyed.op", "config", configuration.text());
     }
 
     void add(standins::upstream_standin const& upstream, std::string const& state = "ready")
