--- a/services/gateway/crash_reports.cpp
+++ b/services/gateway/crash_reports.cpp
@@ -92,10 +92,10 @@
 {
     writer::hooks hooks;
     hooks.clock = [&loop] { return loop.now(); };
-    hooks.append =
-        [this](
-            writer::append_type const& append, std::function<void(forwarding::append_result)> done)
-    { append_records(store_, platform::crash_topic, vm_, "crashes", append, std::move(done)); };
+    hooks.append = [this](
+                       writer::append_type const& append,
+                       std::function<void(forwarding::append_result)> const& done)
+    { append_records(store_, platform::crash_topic, vm_, "crashes", append, done); };
     hooks.on_end = [this](
                        forwarding::write_outcome outcome,
                        std::vector<crash_record> const& records,
--- a/services/gateway/prepaid_log.cpp
+++ b/services/gateway/prepaid_log.cpp
@@ -37,9 +37,9 @@
           std::move(settings),
           {.clock = [&loop] { return loop.now(); },
            .wall_time_ms = system_clock_source::wall_time_ms,
-           .append =
-               [this](forwarding::draw_append const& it, std::function<void(append_result)> done)
-           { append(it, std::move(done)); },
+           .append = [this](
+                         forwarding::draw_append const& it,
+                         std::function<void(append_result)> const& done) { append(it, done); },
            .total = std::move(total),
            .on_read_needed = [this] { follower_.poll_now(); },
            .ask_peers = [this](forwarding::token_request const& it) { return peers_.request(it); },
@@ -107,9 +107,9 @@
 
 void prepaid_log::append(
     forwarding::draw_append const& append,
-    std::function<void(append_result)> done)
+    std::function<void(append_result)> const& done)
 {
-    append_records(store_, topic_, producer_, "prepaid", append, std::move(done));
+    append_records(store_, topic_, producer_, "prepaid", append, done);
 }
 
 } // namespace almondcart
--- a/services/gateway/prepaid_log.hpp
+++ b/services/gateway/prepaid_log.hpp
@@ -29,7 +29,7 @@
     platform::topic_follower::hooks create_hooks();
     void append(
         forwarding::draw_append const& append,
-        std::function<void(forwarding::append_result)> done);
+        std::function<void(forwarding::append_result)> const& done);
     void apply(platform::keyed_record const& record);
 
     platform::store_client& store_;
--- a/services/gateway/record_append.hpp
+++ b/services/gateway/record_append.hpp
@@ -6,7 +6,6 @@
 #include <functional>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace almondcart {
@@ -33,14 +32,14 @@
     std::string const& producer,
     std::string_view part,
     forwarding::log_append<Record> const& append,
-    std::function<void(forwarding::append_result)> done)
+    std::function<void(forwarding::append_result)> const& done)
 {
     std::vector<platform::keyed_record> encoded;
     encoded.reserve(append.records.size());
     for (auto const& it : append.records)
         encoded.push_back({0, it.key(), it.value()});
     detail::append_encoded(
-        store, topic, {producer, append.epoch, append.sequence}, encoded, part, std::move(done));
+        store, topic, {producer, append.epoch, append.sequence}, encoded, part, done);
 }
 
 } // namespace almondcart
