--- a/libraries/forwarding/include/almondcart/forwarding/answered_features.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/answered_features.hpp
@@ -5,7 +5,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <string>
 #include <string_view>
 #include <unordered_set>
 
--- a/libraries/forwarding/include/almondcart/forwarding/crash_observer.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/crash_observer.hpp
@@ -9,7 +9,6 @@
 #include <functional>
 #include <map>
 #include <string>
-#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -37,9 +36,9 @@
 ///
 /// A request whose connection breaks before its answer begins is a suspect, unless the upstream
 /// still responds to others. One that crashes an upstream never gets an answer, so requests whose
-/// answer had begun are not suspected. Neither are prompt parts with which this gateway has seen
-/// requests answered, so that a part that crashes upstreams does not bring the parts around it
-/// under suspicion while no upstream is left to answer others.
+/// answer had begun are not suspected. Neither are features with which this gateway has lately seen
+/// requests answered: while no upstream is left to answer any, nothing else tells the cause from
+/// popular requests and from the parts that prompts share.
 class crash_observer
 {
 public:
--- a/libraries/forwarding/include/almondcart/forwarding/crash_quarantine.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/crash_quarantine.hpp
@@ -116,7 +116,7 @@
     std::optional<key> find_culprit(evidence_map const& all) const;
     bool suffices(evidence const& it) const { return it.times_ms.size() >= settings_.crash_limit; }
     void explain(key const& culprit);
-    void report_changes(std::map<key, evidence> const& before) const;
+    void report_changes(evidence_map const& before) const;
 
     crash_quarantine_settings settings_;
     hooks hooks_;
