Review: Show that a prompt part which crashes replicas hangs all gateways

Cause: crash_quarantine::find_culprit follows features to more specific ones without remembering where it was. A part that stands twice in a prompt is more specific than itself, so the loop never ends. Every gateway reads the same reports.

Change: review/1 with a script and its claim, and the stand-ins that all cases share (store, replicas, clients and the platform's supervision in one process, C++ without dependencies). Nothing outside review/ changes.

--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,10 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of all cases into target/review/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+mkdir -p target/review
+for source in review/*/case.cpp; do
+    number=$(basename "$(dirname "$source")")
+    g++ -std=c++20 -O1 -g -Wall -Wextra -pthread -I review/support "$source" -o "target/review/case-$number"
+done
