Http1: Keep the state of a connection alive while its callbacks run

Callers saw all connections of a gateway close at once: each whole answer without a signature on a streaming route, and each answer above the size limit whose last bytes came together, ended the process by signal 11.

Cause: the body callback gives the response up and destroys the connection whose method is running. The connection was to notice by comparing the use count of a token with 1, but its outer calls hold copies of the token.

Change: the state is shared with the callbacks that run, and each callback is followed by the question whether its exchange is still the current one. Heads are read in a loop instead of a recursion. byte_stream also copies on_connected before it runs it.

--- a/libraries/http1/src/byte_stream.cpp
+++ b/libraries/http1/src/byte_stream.cpp
@@ -80,8 +80,9 @@
             return;
         }
         self->start_reading();
-        if (self->hooks.on_connected)
-            self->hooks.on_connected();
+        // Copied, because the callback may close the stream and reset `hooks`.
+        if (auto const on_connected = self->hooks.on_connected)
+            on_connected();
         self->flush();
     }
 
--- a/libraries/http1/src/outbound_connection.cpp
+++ b/libraries/http1/src/outbound_connection.cpp
@@ -38,187 +38,249 @@
     return names.at(static_cast<std::size_t>(outcome));
 }
 
-outbound_connection::outbound_connection(event_loop& loop, socket_address const& address)
+struct outbound_connection::state : std::enable_shared_from_this<outbound_connection::state>
 {
-    byte_stream::callbacks hooks;
-    hooks.on_connected = [this] { is_connected_ = true; };
-    hooks.on_data = [this](std::string_view data) { receive(data); };
-    hooks.on_end = [this](close_reason reason) { on_stream_end(reason); };
-    stream_ = byte_stream::connect(loop, address, std::move(hooks));
+    void open(event_loop& loop, socket_address const& address);
+    void close();
+    void send(std::string_view method, std::string_view request, exchange_callbacks callbacks);
+    void receive(std::string_view data);
+    bool read_head(std::string_view& data);
+    bool begin_body(response_head const& head);
+    bool read_body(std::string_view& data);
+    void finish(exchange_outcome outcome);
+    void end_idle();
+    void on_stream_end(close_reason reason);
+
+    /// Whether the exchange that had number `number` is still in progress. To be asked after each
+    /// callback, which may have destroyed the connection or sent another request.
+    bool is_current(int number) const { return is_active && exchange_count == number; }
+
+    std::string request_method;
+    std::shared_ptr<exchange_callbacks const> hooks; ///< of the current exchange
+    std::function<void()> idle_end_callback;
+    std::string incomplete_head;
+    int exchange_count = 0;
+    int received_heads = 0; ///< of the current exchange, with interim and rejected ones
+    std::optional<body_decoder> decoder;
+    std::optional<int> keep_alive_seconds;
+    bool is_open = true;
+    bool is_connected = false;
+    bool is_active = false;
+    bool is_reusable = true;
+    bool is_head_accepted = false;
+    std::unique_ptr<byte_stream> stream;
+};
+
+void outbound_connection::state::open(event_loop& loop, socket_address const& address)
+{
+    byte_stream::callbacks callbacks;
+    callbacks.on_connected = [this] { is_connected = true; };
+    callbacks.on_data = [this](std::string_view data) { receive(data); };
+    callbacks.on_end = [this](close_reason reason) { on_stream_end(reason); };
+    stream = byte_stream::connect(loop, address, std::move(callbacks));
 }
 
-void outbound_connection::send(
+void outbound_connection::state::close()
+{
+    is_open = false;
+    is_active = false;
+    hooks.reset();
+    idle_end_callback = {};
+    stream.reset();
+}
+
+void outbound_connection::state::send(
     std::string_view method,
     std::string_view request,
     exchange_callbacks callbacks)
 {
-    ++exchange_count_;
-    method_ = method;
-    callbacks_ = std::move(callbacks);
-    is_active_ = true;
-    is_head_accepted_ = false;
-    decoder_.reset();
-    stream_->write(request);
+    ++exchange_count;
+    request_method = method;
+    hooks = std::make_shared<exchange_callbacks const>(std::move(callbacks));
+    is_active = true;
+    is_head_accepted = false;
+    decoder.reset();
+    stream->write(request);
 }
 
-void outbound_connection::receive(std::string_view data)
+void outbound_connection::state::receive(std::string_view data)
 {
-    if (!is_active_)
+    auto const self = shared_from_this();
+    if (!is_active)
     {
         // An unsolicited response; later responses could not be matched to their requests.
-        is_open_ = false;
-        stream_.reset();
-        if (auto const callback = std::exchange(idle_end_callback_, {}))
-            callback();
+        stream.reset();
+        end_idle();
         return;
     }
-    auto const alive = alive_;
-    while (!data.empty() && is_active_)
+    std::string joined = std::exchange(incomplete_head, {});
+    if (!joined.empty())
     {
-        bool const should_continue = decoder_ ? receive_body(data) : receive_head(data);
-        if (alive.use_count() == 1 || !should_continue)
-            return;
+        joined += data;
+        data = joined;
     }
+    auto const number = exchange_count;
+    bool should_continue = true;
+    while (should_continue && is_current(number))
+        should_continue = decoder ? read_body(data) : read_head(data);
 }
 
-bool outbound_connection::receive_head(std::string_view& data)
+bool outbound_connection::state::read_head(std::string_view& data)
 {
-    input_ += data;
-    data = {};
     response_head head;
     std::size_t consumed = 0;
-    auto const result = parse_response_head(input_, head, consumed);
-    if (result == parse_result::incomplete && input_.size() <= response_head_limit)
-        return false;
-    if (result != parse_result::complete)
+    auto const result = parse_response_head(data, head, consumed);
+    if (result == parse_result::incomplete && data.size() <= response_head_limit)
     {
-        finish_exchange(exchange_outcome::malformed);
+        incomplete_head = data;
         return false;
     }
-    std::string const rest = input_.substr(consumed);
-    input_.clear();
-    if (++received_heads_ > received_head_limit)
+    if (result != parse_result::complete || ++received_heads > received_head_limit)
     {
-        finish_exchange(exchange_outcome::malformed);
+        finish(exchange_outcome::malformed);
         return false;
     }
-    if (head.status >= first_final_status && !begin_body(head))
-        return false;
-    if (rest.empty() && (!decoder_ || head.status < first_final_status))
-        return false;
-    auto const alive = alive_;
-    std::string_view view = rest;
-    // Also called without bytes, because the body may be empty.
-    if (decoder_ && !receive_body(view))
-        return false;
-    if (alive.use_count() > 1 && !view.empty() && is_active_)
-        receive(view);
-    return false;
+    data.remove_prefix(consumed);
+    return head.status < first_final_status || begin_body(head);
 }
 
-bool outbound_connection::begin_body(response_head const& head)
+bool outbound_connection::state::begin_body(response_head const& head)
 {
-    auto const description = describe_response_body(head, method_);
+    auto const description = describe_response_body(head, request_method);
     if (!description)
     {
-        finish_exchange(exchange_outcome::malformed);
+        finish(exchange_outcome::malformed);
         return false;
     }
     if (head.minor_version == 0 || has_connection_token(head.headers, "close") ||
         description->framing == body_framing::until_close)
-        is_reusable_ = false;
-    keep_alive_seconds_ = parse_keep_alive(head.headers);
-    decoder_.emplace(*description);
-    auto const alive = alive_;
-    auto const on_head = callbacks_.on_head;
-    bool const is_accepted = !on_head || on_head(head);
-    if (alive.use_count() == 1)
+        is_reusable = false;
+    keep_alive_seconds = parse_keep_alive(head.headers);
+    decoder.emplace(*description);
+    auto const number = exchange_count;
+    auto const callbacks = hooks;
+    bool const is_accepted = !callbacks->on_head || callbacks->on_head(head);
+    if (!is_current(number))
         return false;
-    is_head_accepted_ = is_accepted;
+    is_head_accepted = is_accepted;
     // A response to another request shows that responses no longer match requests.
     if (!is_accepted)
-        is_reusable_ = false;
-    std::string_view none;
-    std::string content;
-    if (description->framing == body_framing::none ||
-        (description->framing == body_framing::length && description->length == 0))
-    {
-        decoder_->feed(none, content);
-        if (is_head_accepted_)
-        {
-            finish_exchange(exchange_outcome::complete);
-            return false;
-        }
-        decoder_.reset();
-    }
+        is_reusable = false;
     return true;
 }
 
-bool outbound_connection::receive_body(std::string_view& data)
+bool outbound_connection::state::read_body(std::string_view& data)
 {
     std::string content;
-    auto const result = decoder_->feed(data, content);
-    auto const alive = alive_;
-    if (is_head_accepted_ && !content.empty())
+    auto const result = decoder->feed(data, content);
+    auto const number = exchange_count;
+    auto const callbacks = hooks;
+    if (is_head_accepted && !content.empty() && callbacks->on_body)
     {
-        auto const on_body = callbacks_.on_body;
-        if (on_body)
-            on_body(content);
-        if (alive.use_count() == 1 || !is_active_)
+        callbacks->on_body(content);
+        if (!is_current(number))
             return false;
     }
     if (result == parse_result::malformed)
     {
-        finish_exchange(exchange_outcome::malformed);
+        finish(exchange_outcome::malformed);
         return false;
     }
     if (result == parse_result::incomplete)
-        return true;
-    decoder_.reset();
-    if (!is_head_accepted_)
+        return false;
+    decoder.reset();
+    if (!is_head_accepted)
         return true;
     // Bytes after the end of the response do not belong to any request.
     if (!data.empty())
-        is_reusable_ = false;
-    finish_exchange(exchange_outcome::complete);
+        is_reusable = false;
+    finish(exchange_outcome::complete);
     return false;
 }
 
-void outbound_connection::finish_exchange(exchange_outcome outcome)
+void outbound_connection::state::finish(exchange_outcome outcome)
 {
-    if (!is_active_)
+    if (!is_active)
         return;
-    is_active_ = false;
-    received_heads_ = 0;
-    decoder_.reset();
-    input_.clear();
+    is_active = false;
+    received_heads = 0;
+    decoder.reset();
+    incomplete_head.clear();
     if (outcome != exchange_outcome::complete)
     {
-        is_open_ = false;
-        stream_.reset();
+        is_open = false;
+        stream.reset();
     }
-    auto const callbacks = std::exchange(callbacks_, {});
-    if (callbacks.on_end)
-        callbacks.on_end(outcome);
+    auto const callbacks = std::exchange(hooks, nullptr);
+    if (callbacks->on_end)
+        callbacks->on_end(outcome);
 }
 
-void outbound_connection::on_stream_end(close_reason reason)
+void outbound_connection::state::end_idle()
 {
-    is_open_ = false;
-    if (!is_active_)
-    {
-        if (auto const callback = std::exchange(idle_end_callback_, {}))
-            callback();
-        return;
-    }
-    if (!is_connected_)
-        finish_exchange(exchange_outcome::not_connected);
-    else if (!decoder_ || !is_head_accepted_)
-        finish_exchange(exchange_outcome::not_answered);
-    else if (reason == close_reason::closed_by_peer && decoder_->is_complete_at_close())
-        finish_exchange(exchange_outcome::complete);
+    is_open = false;
+    if (auto const callback = std::exchange(idle_end_callback, {}))
+        callback();
+}
+
+void outbound_connection::state::on_stream_end(close_reason reason)
+{
+    auto const self = shared_from_this();
+    is_open = false;
+    if (!is_active)
+        end_idle();
+    else if (!is_connected)
+        finish(exchange_outcome::not_connected);
+    else if (!decoder || !is_head_accepted)
+        finish(exchange_outcome::not_answered);
+    else if (reason == close_reason::closed_by_peer && decoder->is_complete_at_close())
+        finish(exchange_outcome::complete);
     else
-        finish_exchange(exchange_outcome::broken_off);
+        finish(exchange_outcome::broken_off);
+}
+
+outbound_connection::outbound_connection(event_loop& loop, socket_address const& address)
+    : state_(std::make_shared<state>())
+{
+    state_->open(loop, address);
+}
+
+outbound_connection::~outbound_connection()
+{
+    state_->close();
+}
+
+void outbound_connection::send(
+    std::string_view method,
+    std::string_view request,
+    exchange_callbacks callbacks)
+{
+    state_->send(method, request, std::move(callbacks));
+}
+
+void outbound_connection::on_idle_end(std::function<void()> callback)
+{
+    state_->idle_end_callback = std::move(callback);
+}
+
+bool outbound_connection::is_reusable() const
+{
+    return state_->is_open && state_->is_reusable && !state_->is_active;
+}
+
+bool outbound_connection::is_connected() const
+{
+    return state_->is_connected;
+}
+
+bool outbound_connection::is_reused() const
+{
+    return state_->exchange_count > 1;
+}
+
+std::optional<int> outbound_connection::keep_alive_seconds() const
+{
+    return state_->keep_alive_seconds;
 }
 
 } // namespace almondcart::http1
--- a/tests/gateway_upstream_faults.cpp
+++ b/tests/gateway_upstream_faults.cpp
@@ -1,7 +1,9 @@
 #include <criterion/criterion.h>
+#include <fmt/format.h>
 
 #include <functional>
 #include <string>
+#include <tuple>
 
 #include "support/gateway_fixture.hpp"
 #include "support/scripted_upstream.hpp"
@@ -190,3 +192,75 @@
     cr_assert(plain.is_complete());
     cr_assert_eq(plain.body, content);
 }
+
+namespace {
+
+/// A gateway before one upstream of the test's making.
+struct scripted_fixture : gateway_fixture
+{
+    explicit scripted_fixture(scripted_upstream::script script)
+        : upstream(loop, std::move(script))
+    {
+        configure(1, 1'000'000);
+        store.put(
+            "keyed.servers", "i-1", first.registry_entry("models", "ready", upstream.address()));
+        wait_until_ready();
+    }
+
+    scripted_upstream upstream;
+};
+
+} // namespace
+
+// An upstream sends whole responses without its signature, or larger than the limit, of which all
+// bytes arrive at once. Guards against a gateway that ends with all its other requests.
+Test(gateway_upstream_faults, a_response_that_is_given_up_at_its_last_bytes_ends_no_gateway)
+{
+    auto const chunk = [](std::string const& text)
+    { return fmt::format("{:x}\r\n{}\r\n", text.size(), text); };
+    std::string const large(std::size_t{1100} * 1024, 'x');
+    std::string const sealed = "X-Almondcart-Response-Seal: seal\r\n";
+    for (auto const& [path, headers, body] :
+         {std::tuple("/stream/x", std::string(), events(1, 2)),
+          std::tuple("/unsafe/x", sealed, large),
+          std::tuple("/stream/x", sealed, large)})
+    {
+        scripted_fixture it(
+            [&](std::string const& id, std::string const&)
+            {
+                return scripted_upstream::reply{
+                    "HTTP/1.1 200 OK\r\nX-Almondcart-Request-Id: " + id + "\r\n" + headers +
+                        "Transfer-Encoding: chunked\r\n\r\n" + chunk(body) + chunk(""),
+                    false};
+            });
+        for (int n = 0; n < 3; ++n)
+        {
+            auto const response = it.ask(path, "r-" + std::to_string(n));
+            cr_assert(response.head.status == 502 || response.head.status == 503);
+        }
+        cr_assert_not(it.gateway->try_wait().has_value());
+    }
+}
+
+// An upstream stops inside the head of its response and closes. Guards against a client that gets a
+// success with an empty or short body, and against a second run of a request that may run once.
+Test(gateway_upstream_faults, a_head_that_breaks_off_is_no_success)
+{
+    std::size_t length = 0;
+    scripted_fixture it(
+        [&](std::string const& id, std::string const&)
+        {
+            auto const reply = answer(id);
+            return scripted_upstream::reply{reply.substr(0, length), true};
+        });
+    auto const end_of_head = answer("r-1000").size() - 2;
+    for (length = 10; length < end_of_head; length += 9)
+    {
+        auto const id = "r-" + std::to_string(1000 + length);
+        auto const response = it.ask("/unsafe/x", id);
+        cr_assert(response.head.status == 502 || response.head.status == 503, "%zu", length);
+        cr_assert_leq(
+            it.upstream.request_counts().count(id) == 0 ? 0 : it.upstream.request_counts().at(id),
+            1);
+    }
+}
--- a/tests/http1.cpp
+++ b/tests/http1.cpp
@@ -1,118 +1,13 @@
-#include <almondcart/http1/inbound_server.hpp>
-#include <almondcart/http1/outbound_connection.hpp>
-
 #include <criterion/criterion.h>
 
-#include <memory>
 #include <optional>
 #include <string>
-#include <vector>
+
+#include "support/http1_fixture.hpp"
 
 using namespace almondcart;
 using namespace almondcart::http1;
-
-namespace {
-
-/// A server on the loopback interface.
-struct server_fixture
-{
-    event_loop loop;
-    std::vector<std::shared_ptr<inbound_exchange>> exchanges;
-    std::unique_ptr<inbound_server> server = *inbound_server::create(
-        loop,
-        "127.0.0.1:0",
-        [this](std::shared_ptr<inbound_exchange> it) { exchanges.push_back(std::move(it)); });
-
-    socket_address address() const
-    {
-        return *socket_address::parse("127.0.0.1:" + std::to_string(server->port()));
-    }
-};
-
-struct raw_client
-{
-    explicit raw_client(server_fixture& server)
-    {
-        byte_stream::callbacks hooks;
-        hooks.on_data = [this](std::string_view data) { received += data; };
-        hooks.on_end = [this](close_reason) { is_ended = true; };
-        stream = byte_stream::connect(server.loop, server.address(), std::move(hooks));
-    }
-
-    std::string received;
-    bool is_ended = false;
-    std::unique_ptr<byte_stream> stream;
-};
-
-/// A server that sends fixed bytes on each connection, and a client exchange with it.
-struct client_fixture
-{
-    explicit client_fixture(std::string response)
-        : text(std::move(response))
-    {}
-
-    /// Sends one request, to which the server sends the fixed bytes and then closes the connection
-    /// if `is_closing` is set.
-    void exchange(bool is_closing, std::function<bool(response_head const&)> accept = {})
-    {
-        raw = std::make_unique<raw_listener>(loop, text, is_closing);
-        connection = std::make_unique<outbound_connection>(loop, raw->address());
-        outbound_connection::exchange_callbacks callbacks;
-        callbacks.on_head = [this, accept](response_head const& it)
-        {
-            heads.push_back(it);
-            return !accept || accept(it);
-        };
-        callbacks.on_body = [this](std::string_view data) { body += data; };
-        callbacks.on_end = [this](exchange_outcome it) { outcome = it; };
-        connection->send("GET", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", std::move(callbacks));
-        loop.run_until([this] { return outcome.has_value(); });
-    }
-
-    struct raw_listener
-    {
-        raw_listener(event_loop& owner, std::string const& response, bool is_closing)
-            : loop(owner)
-        {
-            fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-            auto any = *socket_address::parse("127.0.0.1:0");
-            bind(fd, any.native(), any.size());
-            listen(fd, 4);
-            watch = loop.watch(
-                fd,
-                [this, response, is_closing]
-                {
-                    int const accepted = accept4(fd, nullptr, nullptr, SOCK_NONBLOCK);
-                    byte_stream::callbacks hooks;
-                    hooks.on_data = [this, response, is_closing](std::string_view)
-                    {
-                        stream->write(response);
-                        if (is_closing)
-                            loop.after(duration(20), [this] { stream.reset(); });
-                    };
-                    stream = byte_stream::adopt(loop, accepted, std::move(hooks));
-                });
-        }
-        ~raw_listener() { loop.unwatch(watch); }
-
-        socket_address address() const { return socket_address::of_socket(fd); }
-
-        event_loop& loop;
-        int fd;
-        st_h2o_socket_t* watch;
-        std::unique_ptr<byte_stream> stream;
-    };
-
-    std::string text;
-    event_loop loop;
-    std::unique_ptr<raw_listener> raw;
-    std::unique_ptr<outbound_connection> connection;
-    std::vector<response_head> heads;
-    std::string body;
-    std::optional<exchange_outcome> outcome;
-};
-
-} // namespace
+using namespace almondcart::test_support;
 
 // Guards against accepted sockets that are never read, and against losing pipelined requests.
 Test(inbound_server, answers_requests_on_a_persistent_connection)
@@ -311,3 +206,92 @@
     loop.run_until([&] { return outcome.has_value(); });
     cr_assert(*outcome == exchange_outcome::not_connected);
 }
+
+namespace {
+
+/// Callback in which a connection is destroyed.
+enum class callback_kind
+{
+    head,
+    body,
+    end,
+};
+
+/// Sends a request on a connection that is destroyed in the callback `at`. Returns the number of
+/// callbacks that ran, after the server's bytes have been read.
+int count_callbacks(std::string const& response, callback_kind at)
+{
+    event_loop loop;
+    client_fixture::raw_listener server(loop, response, false);
+    auto connection = std::make_unique<outbound_connection>(loop, server.address());
+    int count = 0;
+    auto const run = [&](callback_kind current)
+    {
+        ++count;
+        if (current == at)
+            connection.reset();
+    };
+    outbound_connection::exchange_callbacks callbacks;
+    callbacks.on_head = [&](response_head const&)
+    {
+        run(callback_kind::head);
+        return true;
+    };
+    callbacks.on_body = [&](std::string_view) { run(callback_kind::body); };
+    callbacks.on_end = [&](exchange_outcome) { run(callback_kind::end); };
+    connection->send("GET", "GET / HTTP/1.1\r\nHost: a\r\n\r\n", std::move(callbacks));
+    loop.run_until([&] { return connection == nullptr; });
+    // Time for callbacks that should not run any more.
+    auto const end = loop.now() + duration(30);
+    loop.run_until([&] { return loop.now() >= end; });
+    return count;
+}
+
+} // namespace
+
+// The last bytes of a response arrive together with the bytes whose callback destroys the
+// connection. Guards against use after free, and against callbacks after the destruction.
+Test(outbound_connection, a_callback_may_destroy_its_connection)
+{
+    std::string const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                "2\r\nok\r\n0\r\n\r\n";
+    std::string const sized = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    std::string const empty = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    std::string const surplus = sized + empty;
+    std::string const malformed = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                  "2\r\nokxx\r\n";
+    for (auto const& response : {chunked, sized, surplus, malformed})
+    {
+        cr_assert_eq(count_callbacks(response, callback_kind::head), 1, "%s", response.c_str());
+        cr_assert_eq(count_callbacks(response, callback_kind::body), 2, "%s", response.c_str());
+        cr_assert_eq(count_callbacks(response, callback_kind::end), 3, "%s", response.c_str());
+    }
+    cr_assert_eq(count_callbacks(empty, callback_kind::head), 1);
+    cr_assert_eq(count_callbacks(empty, callback_kind::end), 2);
+}
+
+// A response without a body is followed by the first bytes of another one. Guards against dropping
+// them, after which the next request on the connection would be answered by the rest.
+Test(outbound_connection, is_not_reusable_after_bytes_that_follow_an_empty_body)
+{
+    client_fixture it("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\nHTTP/1.1 20");
+    it.exchange(false);
+    cr_assert(*it.outcome == exchange_outcome::complete);
+    cr_assert_not(it.connection->is_reusable());
+}
+
+// Guards against a response that counts as complete although its sender stopped inside its head.
+Test(outbound_connection, a_head_that_is_cut_anywhere_is_no_response)
+{
+    std::string const head = "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\n";
+    for (std::size_t n = 0; n < head.size(); ++n)
+    {
+        client_fixture it(head.substr(0, n));
+        it.exchange(true);
+        cr_assert(*it.outcome == exchange_outcome::not_answered, "%zu bytes", n);
+        cr_assert(it.heads.empty());
+    }
+    client_fixture no_body(head);
+    no_body.exchange(true);
+    cr_assert(*no_body.outcome == exchange_outcome::broken_off);
+}
