Forwarding: End the search for the cause of crashes whatever the reports hold

Callers got no answer from any gateway once a prompt part that crashes upstreams stood twice in the prompts: all gateways used a whole core, and one that was started again hung on the same reports.

Cause: crash_quarantine::find_culprit goes from a feature to one that stands behind it in the same requests. A part that stands twice is behind itself, and parts in either order are behind each other.

Change: lists of features name each feature once, for requests and for reports of others; the search never returns to a feature. A report from more than an hour ahead of the own clock is ignored, because its time would enter sums and would count without end.

--- a/libraries/forwarding/include/almondcart/forwarding/crash_quarantine.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/crash_quarantine.hpp
@@ -27,6 +27,9 @@
     /// Time for which a crash counts.
     duration retention{600'000};
 
+    /// Crashes whose time is further ahead of the own wall clock are ignored.
+    duration max_clock_lead{3'600'000};
+
     /// Remembered features of all crashes; the oldest crashes are dropped first.
     std::size_t capacity = 16'384;
 };
--- a/libraries/forwarding/include/almondcart/forwarding/request_features.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/request_features.hpp
@@ -38,13 +38,18 @@
 };
 
 /// Features of one request: each prompt part but the last, which belongs to the request itself or
-/// to its session, in order, and then the content. Each is more specific than those before it.
+/// to its session, in order, and then the content. Each is more specific than those before it and
+/// stands in the list once.
 using feature_list = std::vector<request_feature>;
 
 /// Returns the features of a request. `caller` is a client account or an API key.
 feature_list
 features_of(client_request const& request, std::string_view caller, std::string_view body);
 
+/// Returns the features without repeats. Of equal ones the last stays, because what stands behind
+/// others is shared by fewer requests.
+feature_list without_repeats(feature_list const& features);
+
 /// Space-free list for log lines.
 std::string text_of(feature_list const& features);
 
--- a/libraries/forwarding/src/crash_quarantine.cpp
+++ b/libraries/forwarding/src/crash_quarantine.cpp
@@ -25,6 +25,9 @@
 
 void crash_quarantine::apply(crash_record const& record)
 {
+    // It would count far beyond its retention.
+    if (record.wall_time_ms - hooks_.wall_time_ms() > settings_.max_clock_lead.count())
+        return;
     is_outdated_ = true;
     if (!record.crashed)
     {
@@ -42,12 +45,13 @@
         crash.service = record.service;
         crash.wall_time_ms = record.wall_time_ms;
     }
-    for (auto const& request : record.requests)
+    for (auto const& reported : record.requests)
     {
+        auto request = without_repeats(reported);
         if (std::ranges::find(crash.requests, request) != crash.requests.end())
             continue;
-        crash.requests.push_back(request);
         size_ += request.size();
+        crash.requests.push_back(std::move(request));
     }
     drop_old_crashes();
 }
@@ -192,17 +196,21 @@
         return std::nullopt;
     auto culprit = first->first;
     auto processes = first->second.processes;
+    // Parts may stand in different orders in different requests, so each may be behind the other.
+    std::set<key> visited{culprit};
     // What sound requests share with those that crash upstreams, such as the beginning of a prompt,
     // may be involved in more crashes than the cause, which then explains most of them.
     constexpr std::size_t majority_divisor = 2;
     for (;;)
     {
-        auto const candidates = collect_more_specific(culprit);
+        auto candidates = collect_more_specific(culprit);
+        std::erase_if(candidates, [&](auto const& it) { return visited.contains(it.first); });
         auto const best = strongest(candidates);
         if (best == candidates.end() || best->second.processes * majority_divisor < processes)
             return culprit;
         culprit = best->first;
         processes = best->second.processes;
+        visited.insert(culprit);
     }
 }
 
--- a/libraries/forwarding/src/request_features.cpp
+++ b/libraries/forwarding/src/request_features.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 
 namespace almondcart::forwarding {
 
@@ -56,7 +57,18 @@
          {std::string_view(request.method), std::string_view(request.target), body})
         content = hash64(text, content);
     features.push_back({feature_kind::content, content});
-    return features;
+    return without_repeats(features);
+}
+
+feature_list without_repeats(feature_list const& features)
+{
+    feature_list result;
+    for (auto it = features.begin(); it != features.end(); ++it)
+    {
+        if (std::find(std::next(it), features.end(), *it) == features.end())
+            result.push_back(*it);
+    }
+    return result;
 }
 
 std::string text_of(feature_list const& features)
--- a/tests/gateway_crashes.cpp
+++ b/tests/gateway_crashes.cpp
@@ -136,3 +136,25 @@
     }
     cr_assert_eq(it.crash_count(), crashes);
 }
+
+// As before, with the part that crashes upstreams twice in each prompt. Guards against a gateway
+// that stops to serve anything, and against refusing what shares the other parts.
+Test(gateway_crashes, a_part_that_stands_twice_in_a_prompt_is_refused_and_no_other)
+{
+    crash_fixture it;
+    auto const deadly = std::string(crash_part) + ",b1:100," + crash_part;
+    it.send_until_known(
+        5,
+        [&]
+        {
+            cr_assert_eq(it.prompt("b1:100").head.status, 200);
+            return it.prompt(deadly).head.status;
+        });
+    auto const crashes = it.crash_count();
+    for (int n = 0; n < 4; ++n)
+    {
+        cr_assert_eq(it.prompt(deadly).head.status, 503);
+        cr_assert_eq(it.prompt("b1:100").head.status, 200);
+    }
+    cr_assert_eq(it.crash_count(), crashes);
+}
