--- a/tests/platform.cpp
+++ b/tests/platform.cpp
@@ -282,6 +282,27 @@
     cr_assert_eq(it.store.page_count() - before, 5, "four pages, one of which was requested twice");
 }
 
+// A store sends the same page of a listing whatever page is asked for. Guards against a process
+// that asks for it without pause.
+Test(topic_follower, a_listing_that_does_not_go_on_is_asked_for_with_pauses)
+{
+    topic_fixture it;
+    it.loop.run_until([&] { return it.snapshots == 1; });
+    for (int n = 0; n < 8; ++n)
+        it.store.put("keyed.op", "key-" + std::to_string(n), "value");
+    it.store.set_page_limit(2);
+    it.store.set_pages_repeated(true);
+    it.store.compact("keyed.op");
+    it.store.abort_pending_reads();
+    auto const before = it.store.page_count();
+    auto const end = it.loop.now() + duration(1000);
+    it.loop.run_until([&] { return it.loop.now() >= end; });
+    cr_assert_lt(it.store.page_count() - before, 20);
+    it.store.set_pages_repeated(false);
+    it.loop.run_until([&] { return it.snapshots == 2; });
+    cr_assert_eq(it.values.size(), 8);
+}
+
 // Guards against missing changes while the store is down and after it has deleted old records.
 Test(topic_follower, follows_a_topic_through_outages_and_deleted_records)
 {
--- a/utilities/standins/platform/store_standin.cpp
+++ b/utilities/standins/platform/store_standin.cpp
@@ -194,7 +194,8 @@
 void store_standin::handle_newest(http_exchange& exchange)
 {
     ++page_count_;
-    auto const after = exchange.query_value("after").value_or("");
+    auto const requested = exchange.query_value("after").value_or("");
+    auto const after = are_pages_repeated_ ? "" : requested;
     if (!after.empty() && std::exchange(is_next_page_failing_, false))
     {
         exchange.respond_text(503, "text/plain", "");
--- a/utilities/standins/platform/store_standin.hpp
+++ b/utilities/standins/platform/store_standin.hpp
@@ -35,6 +35,9 @@
     /// Fails the next request for a page after the first one with 503.
     void fail_next_page() { is_next_page_failing_ = true; }
 
+    /// While set, each page begins with the first record, whatever page is requested.
+    void set_pages_repeated(bool are_pages_repeated) { are_pages_repeated_ = are_pages_repeated; }
+
     /// Number of requested pages, failed requests included.
     int page_count() const { return page_count_; }
 
@@ -96,6 +99,7 @@
     bool is_down_ = false;
     std::size_t page_limit_ = 500;
     bool is_next_page_failing_ = false;
+    bool are_pages_repeated_ = false;
     int page_count_ = 0;
 };
 
