Gateway: Bound what is buffered for slow peers, each and in sum

Callers lost all requests in progress when a stream without end met a client that reads more slowly: the gateway passed its 110 MB and was killed.

Cause: the gateway read from the upstream whether or not the client read, and queued the rest without a limit. Whole answers and request bodies were bounded one by one only, so many at once could do the same.

Change: buffer_budget shares one limit among all buffers; upstreams are read only as fast as their clients read; answers and bodies beyond their share are given up or refused. Streams that are no text, or have more events than the request may have tokens, are broken off. New setting memory_mb, new metric almondcart_buffered_bytes.

--- a/libraries/core/include/almondcart/core/text.hpp
+++ b/libraries/core/include/almondcart/core/text.hpp
@@ -27,6 +27,9 @@
 /// Converts ASCII letters of `text` to lower case.
 std::string to_lower(std::string_view text);
 
+/// Whether `text` is valid UTF-8.
+bool is_valid_utf8(std::string_view text);
+
 /// Splits `text` at each separator. Empty parts are kept, except that empty text and a trailing
 /// separator add none.
 std::vector<std::string_view> split(std::string_view text, char separator);
--- a/libraries/forwarding/include/almondcart/forwarding/event_splitter.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/event_splitter.hpp
@@ -17,6 +17,10 @@
     /// higher than that of the last returned event are dropped as duplicates.
     std::string feed(std::string_view data);
 
+    /// Whether an event was not valid UTF-8, which the format of event streams demands. No later
+    /// event is returned.
+    bool is_malformed() const { return is_malformed_; }
+
     /// Size of the incomplete event in bytes.
     std::size_t pending_bytes() const { return pending_.size(); }
 
@@ -25,6 +29,7 @@
     {
         pending_.clear();
         searched_ = 0;
+        is_malformed_ = false;
     }
 
     /// Id of the last complete event that had one.
@@ -38,6 +43,7 @@
     std::size_t searched_ = 0; ///< prefix of `pending_` without an event terminator
     std::optional<std::int64_t> last_id_;
     std::int64_t event_count_ = 0;
+    bool is_malformed_ = false; ///< the stream since it began or was interrupted
 };
 
 } // namespace almondcart::forwarding
--- a/libraries/forwarding/src/event_splitter.cpp
+++ b/libraries/forwarding/src/event_splitter.cpp
@@ -40,13 +40,18 @@
 
 std::string event_splitter::feed(std::string_view data)
 {
-    pending_ += data;
     std::string events;
+    if (is_malformed_)
+        return events;
+    pending_ += data;
     std::size_t start = 0;
     for (auto end = end_of_event(pending_, searched_); end != std::string::npos;
          end = end_of_event(pending_, start))
     {
         auto const event = std::string_view(pending_).substr(start, end - start);
+        is_malformed_ = !is_valid_utf8(event);
+        if (is_malformed_)
+            break;
         if (is_new(event))
             events += event;
         start = end;
--- a/libraries/http1/include/almondcart/http1/byte_stream.hpp
+++ b/libraries/http1/include/almondcart/http1/byte_stream.hpp
@@ -26,8 +26,9 @@
     std::uint64_t sent = 0;
 };
 
-/// TCP connection on an event loop, based on h2o sockets. It reads continuously, so that a
-/// disconnect is detected at once. No callback runs after `on_end` or after destruction.
+/// TCP connection on an event loop, based on h2o sockets. It reads continuously, unless it is
+/// paused, so that a disconnect is detected at once. No callback runs after `on_end` or after
+/// destruction.
 class byte_stream
 {
 public:
@@ -36,6 +37,9 @@
         std::function<void()> on_connected;
         std::function<void(std::string_view)> on_data;
         std::function<void(close_reason)> on_end;
+
+        /// Called each time all bytes passed to `write` have left the process.
+        std::function<void()> on_drained;
     };
 
     /// Connects to `address`.
@@ -52,6 +56,11 @@
 
     void write(std::string_view data);
 
+    /// Stops reading, so that the peer is slowed down once the kernel's buffers are full. The end of
+    /// the connection is not noticed meanwhile.
+    void pause_reading();
+    void resume_reading();
+
     static byte_totals const& totals();
 
     /// Number of bytes buffered for writing.
--- a/libraries/http1/include/almondcart/http1/inbound_server.hpp
+++ b/libraries/http1/include/almondcart/http1/inbound_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <almondcart/core/buffer_budget.hpp>
 #include <almondcart/http1/byte_stream.hpp>
 #include <almondcart/http1/message.hpp>
 
@@ -57,6 +58,9 @@
         disconnect_callback_ = std::move(callback);
     }
 
+    /// Sets a callback that runs each time all response bytes have left the process.
+    void on_drained(std::function<void()> callback) { drained_callback_ = std::move(callback); }
+
     /// Number of response bytes buffered for writing.
     std::size_t pending_bytes() const;
     bool is_open() const { return !is_finished_ && !connection_.expired(); }
@@ -71,6 +75,8 @@
     request_head head_;
     std::string body_;
     std::function<void()> disconnect_callback_;
+    std::function<void()> drained_callback_;
+    std::unique_ptr<buffer_account> body_account_;
     bool is_started_ = false;
     bool is_finished_ = false;
     bool is_chunked_ = false;
@@ -94,6 +100,10 @@
 
     void set_limits(inbound_limits limits);
 
+    /// Counts what is buffered for clients and from them in `budget`. Must be called before the
+    /// first connection. A body beyond its share is refused with 503.
+    void set_buffer_budget(std::shared_ptr<buffer_budget> budget);
+
     /// While draining, each connection closes after its next response.
     void set_draining(bool is_draining);
 
--- a/libraries/http1/include/almondcart/http1/outbound_connection.hpp
+++ b/libraries/http1/include/almondcart/http1/outbound_connection.hpp
@@ -50,6 +50,11 @@
     /// Sends a complete request. The connection must be idle.
     void send(std::string_view method, std::string_view request, exchange_callbacks callbacks);
 
+    /// Stops and continues reading the response, so that the server does not send faster than the
+    /// response is passed on. The next exchange reads in any case.
+    void pause_reading();
+    void resume_reading();
+
     /// Sets a callback that runs once when the connection is lost or receives unexpected bytes
     /// while idle.
     void on_idle_end(std::function<void()> callback);
--- a/libraries/http1/src/byte_stream.cpp
+++ b/libraries/http1/src/byte_stream.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+/// Receive buffer of a connection in the kernel. One read takes up to about twice as much into the
+/// process, whatever the peer sends.
+constexpr int receive_buffer_bytes = 128 * 1024;
+
 /// Accessed only from the event loop's thread.
 byte_totals& process_totals()
 {
@@ -27,6 +31,7 @@
     callbacks hooks;
     h2o_socket_t* socket = nullptr;
     bool is_connected = false;
+    bool is_paused = false;
     std::string writing; ///< passed to h2o, unchanged until the write completes
     std::string queued;
 
@@ -41,8 +46,22 @@
     {
         is_connected = true;
         int const on = 1;
-        setsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-        h2o_socket_read_start(socket, on_read);
+        int const fd = h2o_socket_get_fd(socket);
+        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes, sizeof(receive_buffer_bytes));
+        if (!is_paused)
+            h2o_socket_read_start(socket, on_read);
+    }
+
+    void set_paused(bool should_pause)
+    {
+        if (std::exchange(is_paused, should_pause) == should_pause || !is_connected ||
+            socket == nullptr)
+            return;
+        if (should_pause)
+            h2o_socket_read_stop(socket);
+        else
+            h2o_socket_read_start(socket, on_read);
     }
 
     void close()
@@ -109,9 +128,14 @@
         auto const self = of(socket).shared_from_this();
         self->writing.clear();
         if (error != nullptr)
+        {
             self->end(close_reason::failed);
-        else
-            self->flush();
+            return;
+        }
+        self->flush();
+        // Copied, because the callback may close the stream and reset `hooks`.
+        if (auto const on_drained = self->hooks.on_drained; on_drained && self->writing.empty())
+            on_drained();
     }
 };
 
@@ -177,6 +201,16 @@
     state_->flush();
 }
 
+void byte_stream::pause_reading()
+{
+    state_->set_paused(true);
+}
+
+void byte_stream::resume_reading()
+{
+    state_->set_paused(false);
+}
+
 std::size_t byte_stream::pending_bytes() const
 {
     return state_->writing.size() + state_->queued.size();
--- a/libraries/http1/src/inbound_connection.cpp
+++ b/libraries/http1/src/inbound_connection.cpp
@@ -12,6 +12,7 @@
 constexpr int request_timeout = 408;
 constexpr int content_too_large = 413;
 constexpr int header_too_large = 431;
+constexpr int service_unavailable = 503;
 
 /// Delay before the connection is closed after its last response, because closing a socket with
 /// unread bytes resets the connection and the client may lose the response.
@@ -30,6 +31,7 @@
     event_loop& loop)
     : server_(std::move(server))
     , loop_(loop)
+    , account_(server_.lock()->buffers)
 {}
 
 inbound_connection::~inbound_connection()
@@ -42,6 +44,7 @@
     byte_stream::callbacks hooks;
     hooks.on_data = [this](std::string_view data) { receive(data); };
     hooks.on_end = [this](close_reason /*reason*/) { close(); };
+    hooks.on_drained = [this] { handle_drained(); };
     stream_ = byte_stream::adopt(loop_, fd, std::move(hooks));
     arm_timer(limits().idle_timeout);
 }
@@ -52,6 +55,7 @@
     timer_.cancel();
     stream_.reset();
     incoming_.reset();
+    account_.resize(0);
     if (auto const server = server_.lock())
         server->connections.erase(this);
     if (auto const exchange = exchange_.lock())
@@ -78,18 +82,44 @@
 {
     if (is_closing_)
         return;
+    auto const self = shared_from_this();
     input_ += data;
+    update_account();
     if (phase_ == phase::response)
     {
         // Limits the bytes that a client may pipeline while it waits for a response.
         auto const limit = limits();
-        if (input_.size() > limit.header_bytes + limit.body_bytes)
+        if (input_.size() > limit.header_bytes + limit.body_bytes ||
+            !account_.allows(input_.size()))
             close();
         return;
     }
     read_requests();
 }
 
+void inbound_connection::write(std::string_view data)
+{
+    if (stream_ == nullptr)
+        return;
+    stream_->write(data);
+    update_account();
+}
+
+void inbound_connection::update_account()
+{
+    account_.resize(input_.size() + (stream_ == nullptr ? 0 : stream_->pending_bytes()));
+}
+
+void inbound_connection::handle_drained()
+{
+    update_account();
+    auto const exchange = exchange_.lock();
+    if (exchange == nullptr)
+        return;
+    if (auto const callback = exchange->drained_callback_)
+        callback();
+}
+
 void inbound_connection::read_requests()
 {
     if (is_reading_)
@@ -107,6 +137,8 @@
             should_continue = false;
     }
     is_reading_ = false;
+    if (stream_ != nullptr)
+        update_account();
 }
 
 bool inbound_connection::read_head()
@@ -143,8 +175,9 @@
     }
     if (description->framing != body_framing::none && input_.empty() &&
         expects_continue(incoming_->head_))
-        stream_->write("HTTP/1.1 100 Continue\r\n\r\n");
+        write("HTTP/1.1 100 Continue\r\n\r\n");
     decoder_.emplace(*description);
+    incoming_->body_account_ = std::make_unique<buffer_account>(account_.budget());
     phase_ = phase::body;
     return true;
 }
@@ -164,6 +197,12 @@
         reject(bad_request);
         return false;
     }
+    if (!incoming_->body_account_->allows(incoming_->body_.size()))
+    {
+        reject(service_unavailable);
+        return false;
+    }
+    incoming_->body_account_->resize(incoming_->body_.size());
     if (result == parse_result::incomplete)
     {
         arm_timer(limits().header_timeout);
@@ -191,8 +230,10 @@
 {
     std::string response = "HTTP/1.1 " + std::to_string(status) + " ";
     response += reason_phrase(status);
+    if (status == service_unavailable)
+        response += "\r\nRetry-After: 1";
     response += "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-    stream_->write(response);
+    write(response);
     incoming_.reset();
     is_closing_ = true;
     arm_timer(linger_time);
@@ -263,7 +304,7 @@
     if (is_closing_)
         head += "Connection: close\r\n";
     head += "\r\n";
-    connection->stream_->write(head);
+    connection->write(head);
     is_started_ = true;
 }
 
@@ -272,9 +313,8 @@
     if (!is_open() || is_started_)
         return;
     write_head(status, headers, body.size());
-    if (auto const connection = connection_.lock();
-        connection && connection->stream_ != nullptr && head_.method != "HEAD")
-        connection->stream_->write(body);
+    if (auto const connection = connection_.lock(); connection && head_.method != "HEAD")
+        connection->write(body);
     complete();
 }
 
@@ -294,7 +334,7 @@
         return;
     if (!is_chunked_)
     {
-        connection->stream_->write(data);
+        connection->write(data);
         return;
     }
     constexpr int hexadecimal = 16;
@@ -307,7 +347,7 @@
     chunk += "\r\n";
     chunk += data;
     chunk += "\r\n";
-    connection->stream_->write(chunk);
+    connection->write(chunk);
 }
 
 void inbound_exchange::finish()
@@ -315,8 +355,8 @@
     auto const connection = connection_.lock();
     if (!is_open() || !is_started_)
         return;
-    if (is_chunked_ && connection->stream_ != nullptr)
-        connection->stream_->write("0\r\n\r\n");
+    if (is_chunked_)
+        connection->write("0\r\n\r\n");
     complete();
 }
 
@@ -324,6 +364,7 @@
 {
     is_finished_ = true;
     disconnect_callback_ = {};
+    drained_callback_ = {};
     if (auto const connection = connection_.lock())
         connection->finish_response(is_closing_);
 }
@@ -334,6 +375,7 @@
         return;
     is_finished_ = true;
     disconnect_callback_ = {};
+    drained_callback_ = {};
     if (auto const connection = connection_.lock())
         connection->close();
 }
--- a/libraries/http1/src/inbound_connection.hpp
+++ b/libraries/http1/src/inbound_connection.hpp
@@ -4,17 +4,26 @@
 
 #include <h2o.h>
 
+#include <limits>
+#include <memory>
 #include <unordered_map>
 
 namespace almondcart::http1 {
 
 struct inbound_server::state
 {
+    state(event_loop& owner, handler function)
+        : loop(owner)
+        , handle(std::move(function))
+    {}
+
     event_loop& loop;
     handler handle;
     inbound_limits limits;
     h2o_socket_t* listener = nullptr;
     bool is_draining = false;
+    std::shared_ptr<buffer_budget> buffers =
+        std::make_shared<buffer_budget>(std::numeric_limits<std::size_t>::max());
     std::unordered_map<inbound_connection*, std::shared_ptr<inbound_connection>> connections;
 };
 
@@ -51,6 +60,9 @@
     void arm_timer(duration delay);
     void expire();
     void finish_response(bool is_closing);
+    void write(std::string_view data);
+    void handle_drained();
+    void update_account();
     bool is_draining() const;
     inbound_limits limits() const;
 
@@ -58,6 +70,7 @@
     event_loop& loop_;
     std::unique_ptr<byte_stream> stream_;
     std::string input_;
+    buffer_account account_; ///< unread input and unwritten output
     phase phase_ = phase::head;
     std::shared_ptr<inbound_exchange> incoming_;
     std::optional<body_decoder> decoder_;
--- a/libraries/http1/src/inbound_server.cpp
+++ b/libraries/http1/src/inbound_server.cpp
@@ -61,7 +61,7 @@
     auto const fd = listen_on(address);
     if (!fd.ok())
         return fd.status();
-    auto server = std::make_shared<state>(state{loop, std::move(handle), {}, nullptr, false, {}});
+    auto server = std::make_shared<state>(state{loop, std::move(handle)});
     server->listener = loop.watch(
         *fd,
         [weak = std::weak_ptr<state>(server), fd = *fd]
@@ -84,6 +84,11 @@
     state_->limits = limits;
 }
 
+void inbound_server::set_buffer_budget(std::shared_ptr<buffer_budget> budget)
+{
+    state_->buffers = std::move(budget);
+}
+
 void inbound_server::set_draining(bool is_draining)
 {
     state_->is_draining = is_draining;
--- a/libraries/http1/src/outbound_connection.cpp
+++ b/libraries/http1/src/outbound_connection.cpp
@@ -206,7 +206,13 @@
     received_heads = 0;
     decoder.reset();
     incomplete_head.clear();
-    if (outcome != exchange_outcome::complete)
+    if (outcome == exchange_outcome::complete)
+    {
+        // An idle connection reads, so that its end is noticed.
+        if (stream != nullptr)
+            stream->resume_reading();
+    }
+    else
     {
         is_open = false;
         stream.reset();
@@ -258,6 +264,18 @@
     state_->send(method, request, std::move(callbacks));
 }
 
+void outbound_connection::pause_reading()
+{
+    if (state_->stream != nullptr)
+        state_->stream->pause_reading();
+}
+
+void outbound_connection::resume_reading()
+{
+    if (state_->stream != nullptr)
+        state_->stream->resume_reading();
+}
+
 void outbound_connection::on_idle_end(std::function<void()> callback)
 {
     state_->idle_end_callback = std::move(callback);
--- a/services/gateway/forward_session.cpp
+++ b/services/gateway/forward_session.cpp
@@ -36,6 +36,7 @@
     , configuration_(context.configuration)
     , arrived_(context.loop.now())
     , deadline_(arrived_)
+    , response_account_(context.buffers)
 {}
 
 forward_session::~forward_session()
@@ -54,6 +55,13 @@
             if (auto const self = weak.lock())
                 self->on_client_disconnected();
         });
+    exchange_->on_drained(
+        [weak = weak_from_this()]
+        {
+            auto const self = weak.lock();
+            if (self && std::exchange(self->is_upstream_slowed_, false) && self->connection_)
+                self->connection_->resume_reading();
+        });
     deadline_timer_ =
         context_.loop.after(time_left(), [self = shared_from_this()] { self->expire(); });
     reserve_tokens();
@@ -229,6 +237,7 @@
 {
     response_ = {};
     response_body_.clear();
+    is_upstream_slowed_ = false;
     if (refuse_if_quarantined() || !acquire_connection())
         return;
     send();
--- a/services/gateway/forward_session.hpp
+++ b/services/gateway/forward_session.hpp
@@ -60,6 +60,9 @@
     void on_attempt_lost(http1::exchange_outcome outcome);
     void log_lost_attempt(http1::exchange_outcome outcome) const;
     void forward_events(std::string const& events);
+    bool exceeds_limit(std::size_t bytes) const;
+    bool has_too_many_events() const;
+    void slow_down_upstream();
     void deliver_response();
     bool is_streaming() const;
     bool try_consume_retry();
@@ -109,7 +112,9 @@
 
     forwarding::upstream_response response_;
     std::string response_body_;
+    buffer_account response_account_; ///< of `response_body_` and the incomplete event
     forwarding::event_splitter events_;
+    bool is_upstream_slowed_ = false;  ///< because the client reads more slowly
     bool is_response_started_ = false; ///< part of a stream was sent to the client
     bool is_done_ = false;
     std::optional<duration> first_byte_time_;
--- a/services/gateway/forward_session_response.cpp
+++ b/services/gateway/forward_session_response.cpp
@@ -1,5 +1,6 @@
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "forward_session.hpp"
@@ -14,6 +15,9 @@
 /// Number of failed connections after which a request is refused.
 constexpr int connect_failure_limit = 4;
 
+/// Bytes of a stream that may wait for its client before the upstream is slowed down.
+constexpr std::size_t client_queue_bytes = std::size_t{64} * 1024;
+
 } // namespace
 
 bool forward_session::on_head(http1::response_head const& head)
@@ -68,13 +72,12 @@
 
 void forward_session::on_body(std::string_view data)
 {
-    auto const limit = context_.settings.response_limit_bytes;
     if (!is_streaming() || !response_.is_success())
     {
-        if (response_body_.size() + data.size() > limit)
+        response_body_ += data;
+        response_account_.resize(response_body_.size());
+        if (exceeds_limit(response_body_.size()))
             abandon_response("exceeds the limit");
-        else
-            response_body_ += data;
         return;
     }
     // Events of an unsigned response may belong to no run, or to another one.
@@ -84,10 +87,34 @@
         return;
     }
     forward_events(events_.feed(data));
-    if (events_.pending_bytes() > limit)
+    response_account_.resize(events_.pending_bytes());
+    if (events_.is_malformed())
+        abandon_response("is not a stream of events");
+    else if (has_too_many_events())
+        abandon_response("has more events than the request allows");
+    else if (exceeds_limit(events_.pending_bytes()))
         abandon_response("exceeds the limit");
 }
 
+bool forward_session::exceeds_limit(std::size_t bytes) const
+{
+    return bytes > context_.settings.response_limit_bytes || !response_account_.allows(bytes);
+}
+
+bool forward_session::has_too_many_events() const
+{
+    // Each event has a token at least. One more event may tell the end of the stream.
+    return request_.prompt && events_.event_count() > request_.prompt->output_limit_tokens + 1;
+}
+
+void forward_session::slow_down_upstream()
+{
+    if (connection_ == nullptr)
+        return;
+    is_upstream_slowed_ = true;
+    connection_->pause_reading();
+}
+
 void forward_session::abandon_response(std::string_view reason)
 {
     spdlog::warn(
@@ -114,6 +141,9 @@
     if (in_flight_)
         in_flight_->set_prompt_read();
     exchange_->send(events);
+    auto const share = std::min(client_queue_bytes, context_.buffers->share_bytes());
+    if (exchange_->pending_bytes() > share)
+        slow_down_upstream();
 }
 
 void forward_session::on_end(exchange_outcome outcome)
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -159,6 +159,7 @@
           connections_,
           crashes_,
           metrics_,
+          std::make_shared<buffer_budget>(settings_.buffer_limit_bytes()),
           {},
           false,
           false,
@@ -189,6 +190,7 @@
     if (!server.ok())
         return server.status();
     server_ = *std::move(server);
+    server_->set_buffer_budget(context_.buffers);
     auto readiness = http_server::create(loop_, {settings_.readiness_listen});
     if (!readiness.ok())
         return readiness.status();
@@ -362,6 +364,7 @@
     connections_.expire();
     metrics_.set_gauges(
         server_->connection_count(), connections_.opened_count(), store_.call_count());
+    metrics_.set_buffered_bytes(context_.buffers->used_bytes());
     metrics_.set_store_path(store_paths_.is_direct_up(), store_paths_.relay_count());
     if (context_.is_stopping)
         try_stop();
--- a/services/gateway/gateway_context.hpp
+++ b/services/gateway/gateway_context.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <almondcart/core/buffer_budget.hpp>
 #include <almondcart/core/random_sequence.hpp>
 #include <almondcart/forwarding/configuration.hpp>
 #include <almondcart/forwarding/exchange_codec.hpp>
@@ -10,6 +11,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -43,6 +45,7 @@
     upstream_connections& connections;
     crash_reports& crashes;
     gateway_metrics& metrics;
+    std::shared_ptr<buffer_budget> buffers; ///< of all that waits for clients or upstreams
     std::map<std::string, retry_budget> retry_budgets; ///< by service
     bool is_ready = false;
     bool is_stopping = false;
--- a/services/gateway/gateway_metrics.cpp
+++ b/services/gateway/gateway_metrics.cpp
@@ -101,6 +101,13 @@
         .Set(static_cast<double>(relays));
 }
 
+void gateway_metrics::set_buffered_bytes(std::size_t n)
+{
+    metrics_
+        .gauge("almondcart_buffered_bytes", "Bytes that wait for clients or belong to open bodies")
+        .Set(static_cast<double>(n));
+}
+
 void gateway_metrics::count_statement(std::string_view statement)
 {
     metrics_
--- a/services/gateway/gateway_metrics.hpp
+++ b/services/gateway/gateway_metrics.hpp
@@ -24,6 +24,8 @@
     void set_gauges(std::size_t connections, std::size_t opened, std::int64_t store_calls);
     void set_store_path(bool is_direct, std::size_t relays);
 
+    void set_buffered_bytes(std::size_t n);
+
     /// Counts what an upstream said of itself in a response.
     void count_statement(std::string_view statement);
 
--- a/services/gateway/gateway_settings.cpp
+++ b/services/gateway/gateway_settings.cpp
@@ -15,6 +15,13 @@
 constexpr std::int64_t max_response_limit_bytes = std::int64_t{1024} * 1024 * 1024;
 
 constexpr double max_link_mbps = 1e6;
+constexpr double max_memory_mb = 1e7;
+
+constexpr double bytes_per_megabyte = 1e6;
+
+/// Share of the memory for buffers, and its value if the memory is not known.
+constexpr double buffer_share = 0.25;
+constexpr std::size_t default_buffer_limit_bytes = std::size_t{24} * 1024 * 1024;
 
 /// Kept below the 100 topics that the platform's store supports for all its users.
 constexpr std::int64_t topic_limit = 64;
@@ -51,6 +58,7 @@
         max_response_limit_bytes,
         static_cast<std::int64_t>(settings.response_limit_bytes)));
     settings.link_mbps = reader.number_or("link_mbps", 0, max_link_mbps, 0);
+    settings.memory_mb = reader.number_or("memory_mb", 0, max_memory_mb, 0);
     constexpr double percent = 100;
     constexpr std::int64_t percent_limit = 100;
     settings.retry_share = static_cast<double>(reader.integer_or(
@@ -64,4 +72,11 @@
     return settings;
 }
 
+std::size_t gateway_settings::buffer_limit_bytes() const
+{
+    if (memory_mb <= 0)
+        return default_buffer_limit_bytes;
+    return static_cast<std::size_t>(memory_mb * bytes_per_megabyte * buffer_share);
+}
+
 } // namespace almondcart
--- a/services/gateway/gateway_settings.hpp
+++ b/services/gateway/gateway_settings.hpp
@@ -24,11 +24,16 @@
     duration shutdown_grace{8000};  ///< before the platform kills a stopping process
     std::size_t prepaid_topics = 1; ///< for prepaid draws; the same on all gateways
     double link_mbps = 0;           ///< capacity of the VM's link in each direction; 0: unknown
+    double memory_mb = 0;           ///< that the process may use; 0: unknown
     double retry_share = 0.1;       ///< retries per first attempt
 
     /// Largest response of an upstream that is not streamed, and largest event of a stream.
     std::size_t response_limit_bytes = std::size_t{1024} * 1024;
 
+    /// Limit for what is buffered between clients and upstreams, in bytes. The rest of the memory
+    /// is for connections, the configuration, the registry and what the store is asked for.
+    std::size_t buffer_limit_bytes() const;
+
     /// Errors have the code `invalid_settings` and name the file, the member and the expected
     /// value.
     static absl::StatusOr<gateway_settings> load(std::string const& file);
--- a/tests/core.cpp
+++ b/tests/core.cpp
@@ -1,12 +1,16 @@
+#include <almondcart/core/buffer_budget.hpp>
 #include <almondcart/core/event_journal.hpp>
 #include <almondcart/core/identifiers.hpp>
 #include <almondcart/core/json.hpp>
 #include <almondcart/core/json_reader.hpp>
 #include <almondcart/core/status.hpp>
+#include <almondcart/core/text.hpp>
 
 #include <criterion/criterion.h>
 
+#include <deque>
 #include <fstream>
+#include <memory>
 #include <sstream>
 #include <string>
 
@@ -84,3 +88,55 @@
     }
     cr_assert_eq(documented, expected.str());
 }
+
+// Many peers are slow at once, and each buffer grows as far as it may. Guards against a sum that
+// passes the limit, and against one peer that takes what all others need.
+Test(buffer_budget, buffers_that_all_grow_stay_within_the_limit_together)
+{
+    constexpr std::size_t limit = 24'000'000;
+    constexpr std::size_t step = 1'000;
+    auto const budget = std::make_shared<buffer_budget>(limit);
+    std::deque<buffer_account> accounts;
+    for (int n = 0; n < 200; ++n)
+        accounts.emplace_back(budget);
+    bool has_grown = true;
+    while (has_grown)
+    {
+        has_grown = false;
+        for (auto& it : accounts)
+        {
+            if (!it.allows(it.bytes() + step))
+                continue;
+            it.resize(it.bytes() + step);
+            has_grown = true;
+        }
+    }
+    cr_assert_leq(budget->used_bytes(), limit);
+    for (auto const& it : accounts)
+        cr_assert_geq(it.bytes() + step, buffer_budget::guaranteed_bytes);
+    accounts.clear();
+    cr_assert_eq(budget->used_bytes(), 0);
+    buffer_account single(budget);
+    cr_assert(single.allows(limit / 3));
+    single.resize(limit / 3 + 1);
+    cr_assert_not(single.allows(limit / 3 + step));
+}
+
+// Guards against bytes that are no text in what is passed on as text.
+Test(text, tells_valid_utf8)
+{
+    for (std::string const valid :
+         {"", "id: 1\n", "\xc3\xa4", "\xe2\x82\xac", "\xf0\x9f\x8f\x96", "\xed\x9f\xbf"})
+        cr_assert(is_valid_utf8(valid), "%s", valid.c_str());
+    for (std::string const invalid :
+         {"\x80",
+          "\xff",
+          "\xc0\xaf",
+          "\xc3",
+          "a\xe2\x82",
+          "\xed\xa0\x80",
+          "\xf4\x90\x80\x80",
+          "\xf8\x88\x80\x80\x80",
+          "\xe2\x28\xa1"})
+        cr_assert_not(is_valid_utf8(invalid), "%zu bytes", invalid.size());
+}
--- a/tests/forwarding.cpp
+++ b/tests/forwarding.cpp
@@ -82,6 +82,20 @@
     }
 }
 
+// Guards against passing on bytes that are no events, and against losing the events before them.
+Test(event_splitter, ends_at_an_event_that_is_no_text)
+{
+    event_splitter it;
+    cr_assert_eq(
+        it.feed("id: 1\ndata: \xc3\xa4\n\nid: 2\ndata: \xc3\n\nid: 3\n\n"),
+        "id: 1\ndata: \xc3\xa4\n\n");
+    cr_assert(it.is_malformed());
+    cr_assert_eq(it.feed("id: 4\n\n"), "");
+    cr_assert_eq(it.event_count(), 1);
+    it.discard_pending();
+    cr_assert_eq(it.feed("id: 2\n\n"), "id: 2\n\n");
+}
+
 // Guards against duplicate events when a stream continues on another upstream.
 Test(event_splitter, drops_duplicate_events)
 {
--- /dev/null
+++ b/tests/gateway_memory.cpp
@@ -0,0 +1,232 @@
+#include <almondcart/http1/byte_stream.hpp>
+
+#include <criterion/criterion.h>
+#include <sys/socket.h>
+
+#include <fstream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "support/gateway_fixture.hpp"
+#include "support/scripted_upstream.hpp"
+
+using namespace almondcart;
+using namespace almondcart::test_support;
+using standins::upstream_mode;
+
+namespace {
+
+/// Memory of the smallest entry VM that the project is deployed on.
+constexpr long memory_limit_kb = 110 * 1000;
+
+std::string request_text(std::string const& path, std::string const& id, std::size_t length)
+{
+    std::string text = "POST " + path + " HTTP/1.1\r\nHost: club.example\r\n";
+    http1::append_headers(text, gateway_fixture::client_headers(id));
+    return text + "Content-Length: " + std::to_string(length) + "\r\n\r\n";
+}
+
+/// Connection of a client that sends and never reads.
+class silent_reader
+{
+public:
+    silent_reader(std::string const& address, std::string const& text)
+        : socket_(connect_to(address))
+    {
+        cr_assert(socket_.is_open());
+        send(socket_.descriptor(), text.data(), text.size(), MSG_NOSIGNAL);
+    }
+
+private:
+    tcp_socket socket_;
+};
+
+struct memory_fixture : gateway_fixture
+{
+    memory_fixture() { start_serving(); }
+
+    void set_modes(upstream_mode mode)
+    {
+        first.set_mode(mode);
+        second.set_mode(mode);
+    }
+
+    void wait(duration time)
+    {
+        auto const end = loop.now() + time;
+        run_until([&] { return loop.now() >= end; });
+    }
+
+    /// Largest resident memory of the gateway so far.
+    long peak_kb() const
+    {
+        std::ifstream file("/proc/" + std::to_string(gateway->id()) + "/status");
+        std::string word;
+        while (file >> word && word != "VmHWM:")
+        {}
+        long kb = 0;
+        file >> kb;
+        return kb;
+    }
+
+    void check_memory()
+    {
+        cr_assert_not(gateway->try_wait().has_value());
+        cr_assert_gt(peak_kb(), 0);
+        cr_assert_lt(peak_kb(), memory_limit_kb, "%ld kB", peak_kb());
+    }
+};
+
+} // namespace
+
+// Upstreams send streams without end to clients that do not read. Guards against a gateway that
+// keeps all of it in memory and is killed with all its requests.
+Test(gateway_memory, streams_without_end_wait_for_their_clients)
+{
+    memory_fixture it;
+    it.set_modes(upstream_mode::endless_stream);
+    std::vector<silent_reader> clients;
+    clients.reserve(24);
+    for (int n = 0; n < 24; ++n)
+        clients.emplace_back(it.listen, request_text("/stream/x", "s-" + std::to_string(n), 0));
+    for (int n = 0; n < 20; ++n)
+    {
+        it.wait(duration(50));
+        cr_assert_eq(it.ask("/unsafe/x", "r-" + std::to_string(n)).head.status, 200);
+    }
+    it.check_memory();
+}
+
+// Upstreams send answers up to the size limit, many at once. Guards against a sum of answers, each
+// within its limit, that fills the memory.
+Test(gateway_memory, many_large_answers_at_once_stay_within_the_memory)
+{
+    memory_fixture it;
+    it.set_modes(upstream_mode::endless_body);
+    std::vector<std::shared_ptr<client_response>> responses;
+    for (int n = 0; n < 150; ++n)
+        responses.push_back(it.send(
+            it.listen,
+            "POST",
+            "/unsafe/x",
+            gateway_fixture::client_headers("r-" + std::to_string(n))));
+    for (auto const& response : responses)
+    {
+        it.run_until([&] { return response->end.has_value(); });
+        cr_assert(response->head.status == 502 || response->head.status == 503);
+    }
+    it.check_memory();
+    it.set_modes(upstream_mode::single_body);
+    it.wait(duration(1000));
+    cr_assert_eq(it.ask("/unsafe/x", "after").head.status, 200);
+}
+
+// Clients send large bodies that never end, many at once. Guards against a sum of bodies that fills
+// the memory, and against small requests that are refused with them.
+Test(gateway_memory, many_large_requests_at_once_stay_within_the_memory)
+{
+    memory_fixture it;
+    constexpr std::size_t body_bytes = std::size_t{4} * 1024 * 1024;
+    std::string const part(body_bytes - 1, 'x');
+    std::vector<std::string> responses(40);
+    std::vector<std::unique_ptr<http1::byte_stream>> clients;
+    for (auto& response : responses)
+    {
+        http1::byte_stream::callbacks hooks;
+        hooks.on_data = [&response](std::string_view data) { response += data; };
+        hooks.on_end = [](http1::close_reason) {};
+        clients.push_back(http1::byte_stream::connect(
+            it.loop, *socket_address::parse(it.listen), std::move(hooks)));
+        clients.back()->write(request_text("/unsafe/x", "large", body_bytes) + part);
+    }
+    for (int n = 0; n < 10; ++n)
+    {
+        it.wait(duration(50));
+        cr_assert_eq(it.ask("/unsafe/x", "r-" + std::to_string(n)).head.status, 200);
+    }
+    it.check_memory();
+    int refusals = 0;
+    for (auto const& response : responses)
+    {
+        refusals += response.starts_with("HTTP/1.1 503 ") ? 1 : 0;
+        cr_assert(response.empty() || response.find("Retry-After") != std::string::npos);
+    }
+    cr_assert_gt(refusals, 0);
+}
+
+// A client reads a long stream more slowly than it comes. Guards against a stream that loses or
+// repeats events, or that is cut, because its upstream is slowed down.
+Test(gateway_memory, a_client_that_reads_slowly_gets_its_whole_stream)
+{
+    gateway_fixture it;
+    constexpr int event_count = 20'000;
+    auto const content = events(1, event_count);
+    scripted_upstream upstream(
+        it.loop,
+        [&](std::string const& id, std::string const&)
+        {
+            auto const head = "HTTP/1.1 200 OK\r\nX-Almondcart-Request-Id: " + id +
+                              "\r\nX-Almondcart-Response-Seal: seal\r\nContent-Length: " +
+                              std::to_string(content.size()) + "\r\n\r\n";
+            return scripted_upstream::reply{head + content, false};
+        });
+    it.route_timeout_ms = 10'000;
+    it.configure(1, 1'000'000);
+    it.store.put(
+        "keyed.servers", "i-1", it.first.registry_entry("models", "ready", upstream.address()));
+    it.wait_until_ready();
+    auto const client = connect_to(it.listen);
+    auto headers = gateway_fixture::client_headers("slow");
+    std::erase_if(headers, [](auto const& it) { return it.first == "X-Almondcart-Deadline-Ms"; });
+    std::string text = "POST /stream/x HTTP/1.0\r\nHost: club.example\r\n";
+    http1::append_headers(text, headers);
+    text += "Content-Length: 0\r\n\r\n";
+    send(client.descriptor(), text.data(), text.size(), MSG_NOSIGNAL);
+    std::string received;
+    std::string buf(16 * 1024, '\0');
+    bool is_ended = false;
+    it.run_until(
+        [&]
+        {
+            auto const n = recv(client.descriptor(), buf.data(), buf.size(), MSG_DONTWAIT);
+            if (n > 0)
+                received.append(buf, 0, static_cast<std::size_t>(n));
+            is_ended = n == 0;
+            return is_ended;
+        });
+    auto const start = received.find("\r\n\r\n");
+    cr_assert(received.starts_with("HTTP/1.1 200 "));
+    cr_assert(received.substr(start + 4) == content, "%zu bytes", received.size());
+}
+
+// An upstream continues a stream with bytes that are no events, and another one with more events
+// than the request may have. Guards against passing them on as answers.
+Test(gateway_memory, bytes_that_are_no_events_end_a_stream)
+{
+    gateway_fixture it;
+    std::string content;
+    scripted_upstream upstream(
+        it.loop,
+        [&](std::string const& id, std::string const&)
+        {
+            auto const head = "HTTP/1.1 200 OK\r\nX-Almondcart-Request-Id: " + id +
+                              "\r\nX-Almondcart-Response-Seal: seal\r\n\r\n";
+            return scripted_upstream::reply{head + content, true};
+        });
+    it.configure(1, 1'000'000);
+    it.store.put(
+        "keyed.servers", "i-1", it.first.registry_entry("models", "ready", upstream.address()));
+    it.wait_until_ready();
+    content = events(1, 2) + "\xfe\x01\x80\n\n" + events(3, 3);
+    auto const noise = it.ask("/stream/x", "r-1");
+    cr_assert_not(noise.is_complete());
+    cr_assert(events(1, 2).starts_with(noise.body));
+    content = events(1, 200);
+    auto const surplus = it.ask("/stream/x", headers_with_tokens("r-2", 10, 20));
+    cr_assert_not(surplus.is_complete());
+    content = events(1, 20);
+    auto const whole = it.ask("/stream/x", headers_with_tokens("r-3", 10, 20));
+    cr_assert(whole.is_complete());
+    cr_assert_eq(whole.body, content);
+}
--- a/tests/support/child_process.hpp
+++ b/tests/support/child_process.hpp
@@ -18,6 +18,7 @@
     child_process& operator=(child_process&&) = delete;
     ~child_process();
 
+    pid_t id() const { return id_; }
     void send_signal(int signal) const;
     /// Waits for the process to end. Returns its exit code, or the negated number of the signal
     /// that ended it.
--- a/utilities/standins/platform/upstream_standin.cpp
+++ b/utilities/standins/platform/upstream_standin.cpp
@@ -12,6 +12,9 @@
 
 constexpr duration unsigned_stream_time{20};
 
+/// Bytes of an endless response that are sent at once.
+constexpr std::size_t endless_part_bytes = std::size_t{64} * 1024;
+
 std::string header_value(http1::inbound_exchange const& exchange, std::string_view name)
 {
     return std::string(find_header(exchange.head().headers, name).value_or(""));
@@ -94,9 +97,11 @@
     auto const after = parse_integer<int>(header_value(*exchange, "Last-Event-Id")).value_or(0);
     auto const& target = exchange->head().target;
     bool const is_stream = target.starts_with("/stream/") || target.starts_with("/resume/");
-    auto const mode = mode_ != upstream_mode::by_path ? mode_
-                      : is_stream                     ? upstream_mode::stream
-                                                      : upstream_mode::single_body;
+    auto mode = mode_;
+    if (mode_ == upstream_mode::by_path)
+        mode = is_stream ? upstream_mode::stream : upstream_mode::single_body;
+    else if (mode_ == upstream_mode::endless_stream && !is_stream)
+        mode = upstream_mode::single_body;
     switch (mode)
     {
     case upstream_mode::by_path:
@@ -146,7 +151,10 @@
     }
     case upstream_mode::endless_body:
         exchange->start(200, response_headers(*exchange));
-        send_endlessly(exchange);
+        send_endlessly(exchange, [] { return std::string(endless_part_bytes, 'x'); });
+        break;
+    case upstream_mode::endless_stream:
+        start_endless_stream(exchange);
         break;
     case upstream_mode::dropped_connection:
     case upstream_mode::not_executed:
@@ -163,14 +171,32 @@
     crash_callback_();
 }
 
-void upstream_standin::send_endlessly(std::shared_ptr<http1::inbound_exchange> const& exchange)
+void upstream_standin::send_endlessly(
+    std::shared_ptr<http1::inbound_exchange> const& exchange,
+    std::function<std::string()> const& next_part)
 {
-    constexpr std::size_t part_bytes = std::size_t{64} * 1024;
+    constexpr std::size_t queue_limit_bytes = std::size_t{1024} * 1024;
     constexpr duration interval{1};
     if (!exchange->is_open())
         return;
-    exchange->send(std::string(part_bytes, 'x'));
-    loop_.after(interval, [this, exchange] { send_endlessly(exchange); });
+    if (exchange->pending_bytes() < queue_limit_bytes)
+        exchange->send(next_part());
+    loop_.after(interval, [this, exchange, next_part] { send_endlessly(exchange, next_part); });
+}
+
+void upstream_standin::start_endless_stream(
+    std::shared_ptr<http1::inbound_exchange> const& exchange)
+{
+    exchange->start(200, response_headers(*exchange));
+    send_endlessly(
+        exchange,
+        [id = 0]() mutable
+        {
+            std::string part;
+            while (part.size() < endless_part_bytes)
+                part += format_event(++id);
+            return part;
+        });
 }
 
 void upstream_standin::send_events(
--- a/utilities/standins/platform/upstream_standin.hpp
+++ b/utilities/standins/platform/upstream_standin.hpp
@@ -25,6 +25,7 @@
     server_error,          ///< executes the request and responds 500
     mismatched_request_id, ///< responds with the id of another request
     endless_body,          ///< a signed response whose body never ends
+    endless_stream,        ///< events without end for the paths of streams, else `single_body`
 };
 
 /// Stand-in for an upstream of the platform. Executes requests in the selected mode, adds its seal
@@ -100,7 +101,10 @@
 private:
     void handle(std::shared_ptr<http1::inbound_exchange> exchange);
     void crash(http1::inbound_exchange& exchange);
-    void send_endlessly(std::shared_ptr<http1::inbound_exchange> const& exchange);
+    void send_endlessly(
+        std::shared_ptr<http1::inbound_exchange> const& exchange,
+        std::function<std::string()> const& next_part);
+    void start_endless_stream(std::shared_ptr<http1::inbound_exchange> const& exchange);
     void send_events(std::shared_ptr<http1::inbound_exchange> const& exchange, int first, int last);
     http_headers response_headers(http1::inbound_exchange const& exchange) const;
 
