Core: Bound all numbers that come from outside before they enter sums

An account whose prepaid total was used up was served without limit after one request with the largest integer as its output limit; one with tokens left was refused from then on.

Cause: the sum of the two numbers of the header overflowed. A negative need counts as covered and is then subtracted from what is spent.

Change: count_limit bounds tokens, times and offsets from clients, the operator, other gateways, peers and the store, where they are decoded; a larger one counts as the limit or is malformed. Sizes that cannot be read are refused with 400, sizes above the whole total at once with 402 and without counting as demand. Peers give no more than they were asked for. The router's and agent's decoders use the same bound.

--- a/libraries/forwarding/include/almondcart/forwarding/prompt_info.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/prompt_info.hpp
@@ -12,7 +12,8 @@
     std::int64_t tokens = 0;
 };
 
-/// Size and cacheable parts of a model request's prompt.
+/// Size and cacheable parts of a model request's prompt. No number is above `count_limit`, so sums
+/// of them cannot overflow.
 struct prompt_info
 {
     std::int64_t input_tokens = 0;
--- a/libraries/forwarding/src/crash_record.cpp
+++ b/libraries/forwarding/src/crash_record.cpp
@@ -1,3 +1,4 @@
+#include <almondcart/core/count.hpp>
 #include <almondcart/core/json.hpp>
 #include <almondcart/core/json_reader.hpp>
 #include <almondcart/core/status.hpp>
@@ -11,7 +12,8 @@
 
 namespace {
 
-constexpr std::int64_t max_time_ms = std::numeric_limits<std::int64_t>::max();
+/// Start times are only compared.
+constexpr std::int64_t max_start_ms = std::numeric_limits<std::int64_t>::max();
 
 std::optional<feature_list> parse_features(std::string_view text)
 {
@@ -65,14 +67,14 @@
     record.vm = key.substr(0, slash);
     record.slot = *slot;
     record.service = reader.string("service");
-    record.wall_time_ms = reader.integer("wall_time_ms", 0, max_time_ms);
+    record.wall_time_ms = reader.integer("wall_time_ms", 0, count_limit);
     if (reader.has("crashed"))
         reader.object(
             "crashed",
             [&](json_reader& it)
             {
                 auto id = it.string("upstream");
-                record.crashed = {std::move(id), it.integer("started_ms", 0, max_time_ms)};
+                record.crashed = {std::move(id), it.integer("started_ms", 0, max_start_ms)};
             });
     for (auto const& text : reader.strings("requests"))
     {
--- a/libraries/forwarding/src/draw_record.cpp
+++ b/libraries/forwarding/src/draw_record.cpp
@@ -1,8 +1,10 @@
+#include <almondcart/core/count.hpp>
 #include <almondcart/core/json.hpp>
 #include <almondcart/core/json_reader.hpp>
 #include <almondcart/core/status.hpp>
 #include <almondcart/forwarding/draw_record.hpp>
 
+#include <algorithm>
 #include <limits>
 
 namespace almondcart::forwarding {
@@ -45,15 +47,20 @@
     draw_record record;
     record.owner = {std::string(key.substr(0, separator)), std::string(key.substr(separator + 1))};
     json_reader reader(*json, "draw record", result_code::malformed_request);
-    constexpr auto maximum = std::numeric_limits<std::int64_t>::max();
-    record.claimed_tokens = reader.integer("claimed_tokens", 0, maximum);
-    record.demand_per_s = reader.integer("demand_per_s", 0, maximum);
-    record.spending.spent_tokens = reader.integer("spent_tokens", 0, maximum);
-    record.spending.slack_tokens = reader.integer("slack_tokens", 0, maximum);
-    record.spending.rate_per_s = reader.integer("rate_per_s", 0, maximum);
-    record.spending.most_tokens = reader.integer("most_tokens", 0, maximum);
-    record.written.boot_ms = reader.integer("boot_ms", 0, maximum);
-    record.written.wall_ms = reader.integer("wall_ms", 0, maximum);
+    // A larger number counts as the limit: a claim that is left out would be drawn again.
+    auto const count = [&reader](std::string_view name)
+    {
+        constexpr auto maximum = std::numeric_limits<std::int64_t>::max();
+        return std::min(reader.integer(name, 0, maximum), count_limit);
+    };
+    record.claimed_tokens = count("claimed_tokens");
+    record.demand_per_s = count("demand_per_s");
+    record.spending.spent_tokens = count("spent_tokens");
+    record.spending.slack_tokens = count("slack_tokens");
+    record.spending.rate_per_s = count("rate_per_s");
+    record.spending.most_tokens = count("most_tokens");
+    record.written.boot_ms = count("boot_ms");
+    record.written.wall_ms = count("wall_ms");
     record.peer_address = reader.string_or("peer_address", {});
     if (auto status = reader.finish(); !status.ok())
         return status;
--- a/libraries/forwarding/src/prepaid_holder.cpp
+++ b/libraries/forwarding/src/prepaid_holder.cpp
@@ -51,11 +51,18 @@
     duration timeout,
     reservation_callback done)
 {
-    if (!hooks_.total(account))
+    auto const total = hooks_.total(account);
+    if (!total)
     {
         done(reservation_result::granted);
         return;
     }
+    // It will never be served, so it is no demand that other requests should wait for.
+    if (tokens < 0 || tokens > *total)
+    {
+        done(reservation_result::exhausted);
+        return;
+    }
     auto& state = accounts_[account];
     state.demand.add(tokens);
     state.largest_request = std::max(state.largest_request, tokens);
--- a/libraries/forwarding/src/spending_report.cpp
+++ b/libraries/forwarding/src/spending_report.cpp
@@ -1,3 +1,4 @@
+#include <almondcart/core/count.hpp>
 #include <almondcart/forwarding/spending_report.hpp>
 
 #include <algorithm>
@@ -26,7 +27,9 @@
 {
     constexpr double milliseconds_per_second = 1000;
     double const seconds = static_cast<double>(elapsed.count()) / milliseconds_per_second;
-    auto const at_rate = static_cast<std::int64_t>(static_cast<double>(rate_per_s) * seconds);
+    // The elapsed time may be of any length, so the product is limited before it is converted.
+    auto const at_rate = static_cast<std::int64_t>(
+        std::min(static_cast<double>(rate_per_s) * seconds, static_cast<double>(count_limit)));
     return spent_tokens + std::min(slack_tokens + at_rate, most_tokens);
 }
 
--- a/libraries/forwarding/src/token_transfer_client.cpp
+++ b/libraries/forwarding/src/token_transfer_client.cpp
@@ -88,7 +88,11 @@
 {
     auto& state = accounts_[account];
     auto const now = hooks_.clock();
-    if (!transfer)
+    // A peer never gives more than is asked for, so its tokens could not be relied on.
+    bool const is_valid =
+        transfer && transfer->tokens >= 0 &&
+        transfer->tokens <= std::max(state.round->needed_tokens, state.round->wanted_tokens);
+    if (!is_valid)
     {
         peers_[vm].blocked_until = now + settings_.unreachable_backoff;
         ask_next(account);
--- a/libraries/gate/src/dispatch.cpp
+++ b/libraries/gate/src/dispatch.cpp
@@ -1,15 +1,14 @@
+#include <almondcart/core/count.hpp>
 #include <almondcart/core/json_reader.hpp>
 #include <almondcart/core/status.hpp>
 #include <almondcart/gate/dispatch.hpp>
 #include <almondcart/gate/usage_json.hpp>
 
-#include <limits>
-
 namespace almondcart {
 
 namespace {
 
-constexpr std::int64_t number_limit = std::numeric_limits<std::int64_t>::max();
+constexpr std::int64_t number_limit = count_limit;
 
 /// Token limit of one request. It keeps sums of grant parts from overflowing.
 constexpr token_count request_token_limit = 1'000'000'000;
--- a/libraries/gate/src/frame.cpp
+++ b/libraries/gate/src/frame.cpp
@@ -1,16 +1,15 @@
+#include <almondcart/core/count.hpp>
 #include <almondcart/core/json.hpp>
 #include <almondcart/core/json_reader.hpp>
 #include <almondcart/core/status.hpp>
 #include <almondcart/gate/frame.hpp>
 #include <almondcart/gate/usage_json.hpp>
 
-#include <limits>
-
 namespace almondcart {
 
 namespace {
 
-constexpr std::int64_t number_limit = std::numeric_limits<std::int64_t>::max();
+constexpr std::int64_t number_limit = count_limit;
 
 Json::Value to_json(data_frame const& frame)
 {
--- a/libraries/gate/src/heartbeat.cpp
+++ b/libraries/gate/src/heartbeat.cpp
@@ -1,3 +1,4 @@
+#include <almondcart/core/count.hpp>
 #include <almondcart/core/json_reader.hpp>
 #include <almondcart/gate/heartbeat.hpp>
 
@@ -9,8 +10,8 @@
 
 namespace {
 
-constexpr std::int64_t number_limit = std::numeric_limits<std::int64_t>::max();
-constexpr std::int64_t count_limit = std::numeric_limits<int>::max();
+constexpr std::int64_t number_limit = count_limit;
+constexpr std::int64_t running_limit = std::numeric_limits<int>::max();
 
 process_id read_process(json_reader& reader, std::string_view name)
 {
@@ -97,9 +98,9 @@
     value.address = reader.string("address");
     value.is_leaving = reader.boolean("leaving");
     value.config_offset = reader.integer("config_offset", -1, number_limit);
-    value.queue = static_cast<int>(reader.integer("queue", 0, count_limit));
-    value.running = static_cast<int>(reader.integer("running", 0, count_limit));
-    value.free_slots = static_cast<int>(reader.integer("free_slots", 0, count_limit));
+    value.queue = static_cast<int>(reader.integer("queue", 0, running_limit));
+    value.running = static_cast<int>(reader.integer("running", 0, running_limit));
+    value.free_slots = static_cast<int>(reader.integer("free_slots", 0, running_limit));
     value.is_suspect_running = reader.boolean("suspect_running");
     for (auto const& text : reader.strings("routers"))
     {
--- a/libraries/http1/include/almondcart/http1/byte_stream.hpp
+++ b/libraries/http1/include/almondcart/http1/byte_stream.hpp
@@ -56,8 +56,8 @@
 
     void write(std::string_view data);
 
-    /// Stops reading, so that the peer is slowed down once the kernel's buffers are full. The end of
-    /// the connection is not noticed meanwhile.
+    /// Stops reading, so that the peer is slowed down once the kernel's buffers are full. The end
+    /// of the connection is not noticed meanwhile.
     void pause_reading();
     void resume_reading();
 
--- a/libraries/ledger/src/budget_shard_json.cpp
+++ b/libraries/ledger/src/budget_shard_json.cpp
@@ -1,3 +1,4 @@
+#include <almondcart/core/count.hpp>
 #include <almondcart/core/status.hpp>
 #include <almondcart/ledger/budget_shard_state.hpp>
 #include <almondcart/ledger/identifier_json.hpp>
@@ -15,7 +16,7 @@
 using detail::read_process_ids;
 using detail::read_request_id;
 
-constexpr std::int64_t number_limit = std::numeric_limits<std::int64_t>::max();
+constexpr std::int64_t number_limit = count_limit;
 
 struct counter_member
 {
--- a/libraries/ledger/src/checkpoint.cpp
+++ b/libraries/ledger/src/checkpoint.cpp
@@ -1,3 +1,4 @@
+#include <almondcart/core/count.hpp>
 #include <almondcart/core/json.hpp>
 #include <almondcart/core/json_reader.hpp>
 #include <almondcart/core/status.hpp>
@@ -5,7 +6,6 @@
 #include <almondcart/ledger/identifier_json.hpp>
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace almondcart {
@@ -71,7 +71,7 @@
 
 absl::StatusOr<checkpoint_part> parse_checkpoint_part(Json::Value const& value)
 {
-    constexpr auto number_limit = std::numeric_limits<std::int64_t>::max();
+    constexpr auto number_limit = count_limit;
     json_reader reader(value, "checkpoint part", result_code::malformed_request);
     if (reader.string("type") != checkpoint_record_type)
         reader.fail("type", "\"checkpoint\"");
--- a/libraries/ledger/src/configuration_state.cpp
+++ b/libraries/ledger/src/configuration_state.cpp
@@ -1,16 +1,16 @@
+#include <almondcart/core/count.hpp>
 #include <almondcart/core/status.hpp>
 #include <almondcart/ledger/configuration_state.hpp>
 #include <almondcart/ledger/identifier_json.hpp>
 
 #include <algorithm>
 #include <iterator>
-#include <limits>
 
 namespace almondcart {
 
 namespace {
 
-constexpr std::int64_t number_limit = std::numeric_limits<std::int64_t>::max();
+constexpr std::int64_t number_limit = count_limit;
 
 struct counter_member
 {
--- a/libraries/ledger/src/records.cpp
+++ b/libraries/ledger/src/records.cpp
@@ -1,10 +1,10 @@
+#include <almondcart/core/count.hpp>
 #include <almondcart/core/json_members.hpp>
 #include <almondcart/core/status.hpp>
 #include <almondcart/ledger/identifier_json.hpp>
 #include <almondcart/ledger/records.hpp>
 
 #include <array>
-#include <limits>
 #include <utility>
 
 namespace almondcart {
@@ -17,7 +17,7 @@
 using detail::read_process_ids;
 using detail::read_request_id;
 
-constexpr std::int64_t number_limit = std::numeric_limits<std::int64_t>::max();
+constexpr std::int64_t number_limit = count_limit;
 constexpr int attempt_limit = 1'000'000;
 
 /// In the order of `record_body`.
--- a/libraries/ledger/src/writer_sequences.cpp
+++ b/libraries/ledger/src/writer_sequences.cpp
@@ -1,8 +1,7 @@
+#include <almondcart/core/count.hpp>
 #include <almondcart/ledger/identifier_json.hpp>
 #include <almondcart/ledger/writer_sequences.hpp>
 
-#include <limits>
-
 namespace almondcart {
 
 bool writer_sequences::insert(process_id const& writer, std::int64_t sequence, std::int64_t time_ms)
@@ -57,7 +56,7 @@
 
 void writer_sequences::read(json_reader& reader, std::string_view name)
 {
-    constexpr auto limit = std::numeric_limits<std::int64_t>::max();
+    constexpr auto limit = count_limit;
     reader.objects(
         name,
         [this](json_reader& it)
--- a/services/agent/agent_configuration.cpp
+++ b/services/agent/agent_configuration.cpp
@@ -1,10 +1,10 @@
 #include "agent_configuration.hpp"
 
+#include <almondcart/core/count.hpp>
 #include <almondcart/core/json_reader.hpp>
 #include <almondcart/document/service_document.hpp>
 
 #include <algorithm>
-#include <limits>
 
 namespace almondcart {
 
@@ -26,7 +26,7 @@
 absl::StatusOr<bool> agent_configuration::apply(Json::Value const& result)
 {
     json_reader reader(result, "configuration_since", result_code::malformed_request);
-    reader.integer("config_offset", -1, std::numeric_limits<std::int64_t>::max());
+    reader.integer("config_offset", -1, count_limit);
     auto const state_json = reader.value_or_null("state");
     if (auto const status = reader.finish(); !status.ok())
         return status;
--- a/services/gateway/forward_session.cpp
+++ b/services/gateway/forward_session.cpp
@@ -135,11 +135,13 @@
 
 void forward_session::choose_service()
 {
-    int total_weight = 0;
+    std::int64_t total_weight = 0;
     for (auto const& it : route_->shares)
         total_weight += it.weight;
     auto remaining_weight =
-        total_weight > 0 ? static_cast<int>(context_.random.next() % total_weight) : 0;
+        total_weight > 0 ? static_cast<std::int64_t>(
+                               context_.random.next() % static_cast<std::uint64_t>(total_weight))
+                         : 0;
     for (auto const& it : route_->shares)
     {
         service_ = configuration_->find_service(it.service);
--- a/services/gateway/token_transfer_rpc.cpp
+++ b/services/gateway/token_transfer_rpc.cpp
@@ -1,12 +1,12 @@
 #include "token_transfer_rpc.hpp"
 
 #include <almondcart/core/clock.hpp>
+#include <almondcart/core/count.hpp>
 #include <almondcart/core/json_reader.hpp>
 #include <almondcart/core/status.hpp>
 
 #include <spdlog/spdlog.h>
 
-#include <limits>
 #include <utility>
 
 #include "prepaid_accounts.hpp"
@@ -23,8 +23,6 @@
 /// A gateway normally responds within milliseconds, and client requests wait for the response.
 constexpr duration response_timeout{250};
 
-constexpr std::int64_t max_tokens = std::numeric_limits<std::int64_t>::max();
-
 Json::Value encode(token_request const& request)
 {
     Json::Value value(Json::objectValue);
@@ -39,8 +37,8 @@
     json_reader reader(value, transfer_method, result_code::malformed_request);
     token_request request;
     request.account = reader.string("account");
-    request.needed_tokens = reader.integer("needed_tokens", 0, max_tokens);
-    request.wanted_tokens = reader.integer("wanted_tokens", 0, max_tokens);
+    request.needed_tokens = reader.integer("needed_tokens", 0, count_limit);
+    request.wanted_tokens = reader.integer("wanted_tokens", 0, count_limit);
     if (auto status = reader.finish(); !status.ok())
         return status;
     return request;
@@ -58,8 +56,8 @@
 {
     json_reader reader(value, transfer_method, result_code::malformed_request);
     token_transfer transfer;
-    transfer.tokens = reader.integer("tokens", 0, max_tokens);
-    transfer.left_tokens = reader.integer("left_tokens", -max_tokens, max_tokens);
+    transfer.tokens = reader.integer("tokens", 0, count_limit);
+    transfer.left_tokens = reader.integer("left_tokens", -count_limit, count_limit);
     if (auto status = reader.finish(); !status.ok())
         return status;
     return transfer;
--- a/services/router/control_service.cpp
+++ b/services/router/control_service.cpp
@@ -1,10 +1,10 @@
 #include "control_service.hpp"
 
+#include <almondcart/core/count.hpp>
 #include <almondcart/core/json_reader.hpp>
 #include <almondcart/core/status.hpp>
 #include <almondcart/gate/usage_json.hpp>
 
-#include <limits>
 #include <map>
 #include <utility>
 
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::int64_t number_limit = std::numeric_limits<std::int64_t>::max();
+constexpr std::int64_t number_limit = count_limit;
 
 absl::Status malformed(std::string_view detail)
 {
--- a/services/router/document_publisher.cpp
+++ b/services/router/document_publisher.cpp
@@ -1,10 +1,10 @@
 #include "document_publisher.hpp"
 
+#include <almondcart/core/count.hpp>
 #include <almondcart/core/json_reader.hpp>
 #include <almondcart/core/status.hpp>
 #include <almondcart/document/service_document.hpp>
 
-#include <limits>
 #include <utility>
 
 namespace almondcart {
@@ -32,8 +32,7 @@
     json_reader reader(params, "publish", result_code::malformed_request);
     auto const document = reader.value_or_null("document");
     auto const author = reader.string_or("author", "");
-    auto const given_base =
-        reader.integer_or("base_version", -1, std::numeric_limits<std::int64_t>::max(), -1);
+    auto const given_base = reader.integer_or("base_version", -1, count_limit, -1);
     if (auto status = reader.finish(); !status.ok())
     {
         reply(status);
--- a/services/router/peer_links.cpp
+++ b/services/router/peer_links.cpp
@@ -1,11 +1,11 @@
 #include "peer_links.hpp"
 
+#include <almondcart/core/count.hpp>
 #include <almondcart/core/json_reader.hpp>
 #include <almondcart/core/status.hpp>
 
 #include <spdlog/spdlog.h>
 
-#include <limits>
 #include <utility>
 
 namespace almondcart {
@@ -14,7 +14,7 @@
 
 constexpr duration heartbeat_timeout{1'000};
 constexpr duration fetch_timeout{5'000};
-constexpr std::int64_t offset_limit = std::numeric_limits<std::int64_t>::max();
+constexpr std::int64_t offset_limit = count_limit;
 
 } // namespace
 
--- a/tests/gateway.cpp
+++ b/tests/gateway.cpp
@@ -176,6 +176,34 @@
     cr_assert_leq((*parse_json(*record))["claimed_tokens"].asInt64(), 2'000);
 }
 
+// A client states the largest numbers of tokens, in requests that no upstream takes. Guards against
+// an account that spends without limit afterwards, or is refused whatever is left of its total.
+Test(gateway, a_request_without_an_output_limit_changes_no_account)
+{
+    constexpr auto max = "9223372036854775807";
+    for (auto const& count : {std::string("100,") + max, std::string(max) + "," + max})
+    {
+        gateway_fixture it;
+        it.start_serving(2'000);
+        it.first.set_mode(upstream_mode::not_executed);
+        it.second.set_mode(upstream_mode::not_executed);
+        auto headers = gateway_fixture::client_headers("r-large");
+        headers.emplace_back("X-Almondcart-Token-Count", count);
+        cr_assert_eq(it.ask("/stream/x", headers).head.status, 402);
+        it.first.set_mode(upstream_mode::stream);
+        it.second.set_mode(upstream_mode::stream);
+        int served = 0;
+        for (int n = 0; n < 20; ++n)
+        {
+            auto const id = "r-" + std::to_string(n);
+            auto const status = it.ask("/stream/x", headers_with_tokens(id, 200, 24)).head.status;
+            cr_assert(status == 200 || status == 402);
+            served += status == 200 ? 1 : 0;
+        }
+        cr_assert_eq(served, 8);
+    }
+}
+
 // Guards against losing tokens, or spending them twice, when the process is killed.
 Test(gateway, a_restarted_process_goes_on_with_the_rest_of_the_total)
 {
--- a/tests/platform.cpp
+++ b/tests/platform.cpp
@@ -1,3 +1,4 @@
+#include <almondcart/core/count.hpp>
 #include <almondcart/core/status.hpp>
 #include <almondcart/http/http_server.hpp>
 #include <almondcart/platform/exchange_headers.hpp>
@@ -323,3 +324,62 @@
     it.store.remove("keyed.op", "a");
     it.loop.run_until([&] { return !it.values.contains("a"); });
 }
+
+namespace {
+
+absl::StatusOr<forwarding::client_request> decode_with_tokens(std::string const& count)
+{
+    auto const codec = create_exchange_codec();
+    return codec.decode_request(
+        "POST", "/x", {{"X-Almondcart-Request-Id", "r-1"}, {"X-Almondcart-Token-Count", count}});
+}
+
+} // namespace
+
+// Clients state the largest numbers that there are, or what is no number. Guards against sums that
+// overflow, and against requests that are served without being charged.
+Test(exchange_headers, numbers_of_clients_never_overflow)
+{
+    constexpr auto max = "9223372036854775807";
+    for (std::string const huge : {max, "9223372036854775808", "99999999999999999999999999"})
+    {
+        auto const request = decode_with_tokens(huge + "," + huge);
+        cr_assert(request.ok());
+        cr_assert_eq(request->prompt->worst_case_tokens(), 2 * count_limit);
+    }
+    for (std::string const bad : {"", "1", "1,", ",1", "-1,5", "5,-1", "1,2,3", "1;2", "0x10,1"})
+        cr_assert_not(decode_with_tokens(bad).ok(), "%s", bad.c_str());
+    auto const codec = create_exchange_codec();
+    auto const request = codec.decode_request(
+        "POST",
+        "/x",
+        {{"X-Almondcart-Request-Id", "r-1"},
+         {"X-Almondcart-Token-Count", "5,5"},
+         {"X-Almondcart-Deadline-Ms", max},
+         {"X-Almondcart-Prompt-Prefix", std::string("a:") + max + ",b:" + max + ",c:1"}});
+    cr_assert(request.ok());
+    cr_assert_eq(request->time_limit->count(), count_limit);
+    cr_assert_eq(request->prompt->parts.size(), 3);
+    cr_assert_eq(request->prompt->parts[0].tokens, count_limit);
+}
+
+// An operator states a total or a time that means "no limit". Guards against a configuration that
+// is rejected, and against sums that overflow.
+Test(operator_records, numbers_without_a_limit_are_limited)
+{
+    auto const text = [](std::string const& n)
+    {
+        return R"({"version":1,"routes":[{"name":"r","hostname":"h","pathPrefix":"/","kind":"safe",)"
+               R"("timeoutMs":)" +
+               n + R"(,"backend":"b"}],"backends":[{"name":"b"}],"tenants":[{"name":"t",)" +
+               R"("apiKeys":["k"],"prepaid":)" + n + "}]}";
+    };
+    for (std::string const n : {"9223372036854775807", "18446744073709551615"})
+    {
+        auto const configuration = decode_configuration(text(n));
+        cr_assert(configuration.ok());
+        cr_assert_eq(configuration->accounts[0].prepaid_tokens, count_limit);
+        cr_assert_eq(configuration->routes[0].timeout.count(), count_limit);
+    }
+    cr_assert_not(decode_configuration(text("-1")).ok());
+}
--- a/tests/prepaid.cpp
+++ b/tests/prepaid.cpp
@@ -1,6 +1,11 @@
+#include <almondcart/core/count.hpp>
+
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
+#include <limits>
+#include <string>
+
 #include "prepaid_fleet.hpp"
 
 using namespace almondcart;
@@ -56,6 +61,81 @@
     cr_assert_geq(fleet.spent(), 19'400);
 }
 
+// A client states an output limit without end. Guards against a request that is taken for covered,
+// and against an account that is refused afterwards whatever is left of its total.
+Test(prepaid, a_request_of_the_largest_size_changes_no_account)
+{
+    for (std::int64_t const tokens :
+         {2 * count_limit, std::numeric_limits<std::int64_t>::min(), std::int64_t{-1}})
+    {
+        prepaid_fleet fleet(2, 1'000'000);
+        fleet.run(duration(2'000), 20'000, 1'000);
+        auto const refused = fleet.count(reservation_result::exhausted);
+        auto const demand = fleet.holder(0).demand_per_s(prepaid_fleet::account);
+        fleet.request(0, tokens);
+        fleet.request(1, tokens);
+        fleet.advance(duration(10));
+        cr_assert_eq(fleet.count(reservation_result::exhausted), refused + 2);
+        cr_assert_leq(fleet.holder(0).demand_per_s(prepaid_fleet::account), demand);
+        fleet.run(duration(60'000), 20'000, 1'000);
+        cr_assert_leq(fleet.spent(), fleet.total());
+        cr_assert_geq(
+            fleet.spent(), fleet.total() * 97 / 100, "%lld", static_cast<long long>(fleet.spent()));
+    }
+}
+
+// Records of another writer hold the largest numbers. Guards against a claim that is left out,
+// whose tokens would be drawn again, and against sums that overflow.
+Test(prepaid, a_record_with_the_largest_numbers_counts_as_a_claim_of_all)
+{
+    auto const record = forwarding::draw_record::parse(
+        "account/other",
+        R"({"claimed_tokens":9223372036854775807,"demand_per_s":9223372036854775807,)"
+        R"("spent_tokens":9223372036854775807,"slack_tokens":9223372036854775807,)"
+        R"("rate_per_s":9223372036854775807,"most_tokens":9223372036854775807,)"
+        R"("boot_ms":9223372036854775807,"wall_ms":9223372036854775807})");
+    cr_assert(record.ok());
+    cr_assert_eq(record->claimed_tokens, count_limit);
+    cr_assert_leq(record->spending.limit_after(duration(count_limit)), 2 * count_limit);
+    forwarding::prepaid_ledger ledger;
+    for (int n = 0; n < 1'000; ++n)
+    {
+        auto other = *record;
+        other.owner.vm += std::to_string(n);
+        ledger.apply(n, other);
+    }
+    cr_assert_eq(ledger.claimed("account"), 1'000 * count_limit);
+}
+
+// Guards against tokens of a peer that sends more than was asked for, which nothing covers.
+Test(token_transfer_client, takes_no_more_than_it_asked_for)
+{
+    manual_clock clock;
+    std::int64_t received = 0;
+    std::int64_t given = 0;
+    int rounds = 0;
+    forwarding::token_transfer_client::hooks hooks;
+    hooks.clock = clock.function();
+    hooks.ask = [&](auto const&, auto const&, auto const& done) {
+        done(forwarding::token_transfer{given, 0});
+    };
+    hooks.receive = [&](auto const&, std::int64_t tokens) { received += tokens; };
+    hooks.on_end = [&](auto const&) { ++rounds; };
+    for (std::int64_t const tokens : {std::int64_t{1'001}, count_limit, std::int64_t{-5}})
+    {
+        forwarding::token_transfer_client client({}, "vm-1", hooks);
+        forwarding::draw_record record;
+        record.owner = {"account", "vm-2"};
+        record.claimed_tokens = 5'000;
+        record.peer_address = "127.0.0.1:1";
+        client.observe(record);
+        given = tokens;
+        client.request({"account", 500, 1'000});
+        cr_assert_eq(received, 0);
+    }
+    cr_assert_eq(rounds, 3);
+}
+
 // Guards against counting a draw twice, or not at all, if the response to its append is lost.
 Test(prepaid, an_append_without_a_response_is_counted_once)
 {
