Forwarding: Say that a total is used up only if its tokens are spent

After the loss of a gateway for good, callers of the others got 402 with a third of the prepaid total left, and did not come back.

Cause: a request was refused as exhausted as soon as all of the total was claimed, whatever its holders had spent of it.

Change: if the reports on the log leave enough unspent for the request, it is refused as unavailable (503, Retry-After). The last 3 in 100 of a total count as used up: gateways hold them in pieces smaller than a request, and no caller is owed them.

The tokens themselves stay out of reach.

--- a/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
@@ -144,6 +144,10 @@
     draw_writer::hooks create_writer_hooks();
     std::int64_t spendable(token_account const& state) const;
     std::int64_t remaining(std::string const& account, token_account const& state) const;
+
+    /// Tokens of the total that no process has reported as spent, whoever holds them, less the
+    /// last few, which are scattered over the gateways.
+    std::int64_t unspent(std::string const& account, token_account const& state) const;
     account_outlook outlook(std::string const& account, token_account const& state) const;
     std::int64_t compute_delta(std::string const& account, token_account const& state) const;
     bool is_report_due(token_account const& state) const;
--- a/libraries/forwarding/src/prepaid_holder.cpp
+++ b/libraries/forwarding/src/prepaid_holder.cpp
@@ -14,6 +14,9 @@
 /// Share of the target below which a gateway draws even if no request waits.
 constexpr double low_watermark = 0.85;
 
+/// Share of a total that counts as used up while gateways hold it in pieces smaller than a request.
+constexpr double scattered_share = 0.03;
+
 } // namespace
 
 std::string_view name_of(reservation_result result)
@@ -161,6 +164,16 @@
     return std::max<std::int64_t>(0, *total - others - state.held_tokens());
 }
 
+std::int64_t prepaid_holder::unspent(std::string const& account, token_account const& state) const
+{
+    auto const total = hooks_.total(account);
+    if (!total)
+        return 0;
+    auto const others = ledger_.totals_of(account) - ledger_.totals_by({account, settings_.vm});
+    auto const scattered = static_cast<std::int64_t>(scattered_share * static_cast<double>(*total));
+    return *total - scattered - others.spent_tokens - state.spent_tokens();
+}
+
 bool prepaid_holder::is_log_stalled() const
 {
     bool const is_claim_stalled =
@@ -245,8 +258,10 @@
     if (!is_expired && (exceeds_total || is_stalled || is_peer_delay_over) &&
         ask_peers(account, state))
         return std::nullopt;
+    // What others hold may be out of reach, for example on a VM that is gone, but it is not spent.
     if (exceeds_total)
-        return reservation_result::exhausted;
+        return request.tokens > unspent(account, state) ? reservation_result::exhausted
+                                                        : reservation_result::unavailable;
     if (is_expired || is_stalled)
         return reservation_result::unavailable;
     return std::nullopt;
--- a/tests/prepaid.cpp
+++ b/tests/prepaid.cpp
@@ -61,6 +61,31 @@
     cr_assert_geq(fleet.spent(), 19'400);
 }
 
+// A gateway is lost for good with much of a total. Guards against others that say that the total is
+// used up, after which callers do not come back.
+Test(prepaid, tokens_of_a_lost_gateway_are_not_reported_as_used_up)
+{
+    prepaid_fleet fleet(3, 600'000);
+    fleet.connect_peers();
+    fleet.run(duration(3'000), 10'000, 1'000);
+    fleet.remove(0);
+    constexpr std::int64_t tokens = 1'000;
+    while (fleet.spent() + 2 * tokens <= fleet.total())
+    {
+        auto const refused = fleet.count(reservation_result::unavailable);
+        fleet.run(duration(200), 10'000, tokens);
+        cr_assert_eq(
+            fleet.count(reservation_result::exhausted),
+            0,
+            "%lld spent",
+            static_cast<long long>(fleet.spent()));
+        if (fleet.count(reservation_result::unavailable) - refused > 3)
+            break;
+    }
+    cr_assert_gt(fleet.count(reservation_result::unavailable), 0);
+    cr_assert_lt(fleet.spent(), fleet.total() - 2 * tokens);
+}
+
 // A client states an output limit without end. Guards against a request that is taken for covered,
 // and against an account that is refused afterwards whatever is left of its total.
 Test(prepaid, a_request_of_the_largest_size_changes_no_account)
--- a/tests/prepaid_fleet.hpp
+++ b/tests/prepaid_fleet.hpp
@@ -130,6 +130,9 @@
         read(i);
     }
 
+    /// Ends gateway `i` for good. What it holds stays claimed on the log.
+    void remove(int i) { gateways_.erase(i); }
+
     void set_fault(int i, fake_draw_log::fault injected) { gateways_[i].fault = injected; }
 
     /// Restarts all gateways with token transfers enabled, which also applies to later starts.
