Http: Take a body without a length that is reset for incomplete

Found while looking for answers that break off: a service that resets its connection inside a body without a length or chunks was passed on by the agent as a complete success.

Cause: h2o's client reports any end of such a connection as the end of the body.

Change: the client asks the kernel whether the peer has closed in order.

--- a/libraries/http/src/client_call.cpp
+++ b/libraries/http/src/client_call.cpp
@@ -4,6 +4,9 @@
 
 #include <absl/strings/cord.h>
 #include <absl/strings/str_cat.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <utility>
 
@@ -20,6 +23,15 @@
     return status;
 }
 
+/// Whether the peer has closed the connection in order, so that no byte is missing.
+bool is_closed_by_peer(int fd)
+{
+    tcp_info info{};
+    socklen_t size = sizeof(info);
+    return getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+           info.tcpi_state == TCP_CLOSE_WAIT;
+}
+
 /// Sets a flag for the duration of a scope.
 class scoped_flag
 {
@@ -199,6 +211,8 @@
             std::string(headers[i].name->base, headers[i].name->len),
             std::string(headers[i].value.base, headers[i].value.len));
     self->is_chunked_ = find_header(head.headers, "transfer-encoding").has_value();
+    self->ends_with_connection_ =
+        !self->is_chunked_ && !find_header(head.headers, "content-length").has_value();
     if (is_complete)
         self->native_ = nullptr;
     else
@@ -250,7 +264,11 @@
     }
     // h2o reports a chunked body as complete when the connection is closed between two chunks. The
     // last chunk arrives together with bytes, the end of a closed connection without.
-    if (is_complete && self->is_chunked_ && native->sock->bytes_read == 0)
+    bool const is_cut_between_chunks = self->is_chunked_ && native->sock->bytes_read == 0;
+    // It also reports a body without a length as complete when the connection is reset.
+    bool const is_reset =
+        self->ends_with_connection_ && !is_closed_by_peer(h2o_socket_get_fd(native->sock));
+    if (is_complete && (is_cut_between_chunks || is_reset))
     {
         self->native_ = nullptr;
         self->end(make_status(
--- a/libraries/http/src/client_call.hpp
+++ b/libraries/http/src/client_call.hpp
@@ -61,6 +61,9 @@
     bool is_in_h2o_ = false; ///< in an h2o callback; a negative result closes the connection
     bool is_cancelled_ = false;
     bool is_chunked_ = false; ///< the response has a transfer coding
+
+    /// The response has neither a length nor a transfer coding.
+    bool ends_with_connection_ = false;
 };
 
 } // namespace almondcart::detail
--- a/tests/http.cpp
+++ b/tests/http.cpp
@@ -223,6 +223,61 @@
     cr_assert(!is_request_unsent(*response.result));
 }
 
+namespace {
+
+/// Answers one connection with `text` and ends it, in order or by a reset.
+absl::Status fetch_raw(std::string const& text, bool is_reset)
+{
+    event_loop loop;
+    http_client client(loop);
+    auto any = *socket_address::parse("127.0.0.1:0");
+    int const listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    bind(listener, any.native(), any.size());
+    listen(listener, 1);
+    auto* const watch = loop.watch(
+        listener,
+        [&]
+        {
+            int const fd = accept4(listener, nullptr, nullptr, 0);
+            std::string buf(4096, '\0');
+            recv(fd, buf.data(), buf.size(), 0);
+            send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+            loop.after(
+                duration(30),
+                [fd, is_reset]
+                {
+                    linger const none{is_reset ? 1 : 0, 0};
+                    setsockopt(fd, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+                    close(fd);
+                });
+        });
+    http_request request;
+    request.address = socket_address::of_socket(listener).to_text();
+    std::optional<absl::Status> result;
+    http_callbacks callbacks;
+    callbacks.on_done = [&](absl::Status status) { result = std::move(status); };
+    client.request(std::move(request), std::move(callbacks));
+    loop.run_until([&] { return result.has_value(); });
+    loop.unwatch(watch);
+    return *result;
+}
+
+} // namespace
+
+// A server stops inside the head, or resets the connection inside a body without a length. Guards
+// against responses that broke off and count as complete.
+Test(http, a_response_that_breaks_off_is_an_error)
+{
+    std::string const head = "HTTP/1.1 200 OK\r\nServer: a\r\n\r\n";
+    for (bool const is_reset : {false, true})
+    {
+        for (std::size_t n = 0; n < head.size(); n += 3)
+            cr_assert_not(fetch_raw(head.substr(0, n), is_reset).ok(), "%zu bytes", n);
+        cr_assert_eq(fetch_raw(head + "part", is_reset).ok(), !is_reset);
+        cr_assert_not(fetch_raw("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", is_reset).ok());
+    }
+}
+
 // Guards against clients receiving each other's responses when these complete out of order.
 Test(http, responses_out_of_order_reach_their_clients)
 {
