Router: Disconnect a client that does not read its stream

Found with the endless streams of the gateway: the router queued a stream for a client that does not read without a limit.

Evidence: router_response.a_client_that_reads_nothing_is_disconnected failed before, with more than 2 MiB waiting.

Change: above 1 MiB the client is disconnected, as the agent does with a router. It may call again with its key. The sum over clients is not bounded.

--- a/services/router/client_response.cpp
+++ b/services/router/client_response.cpp
@@ -9,6 +9,10 @@
 namespace {
 
 constexpr int http_ok = 200;
+/// Bytes of a stream that may wait for a client. One that reads more slowly is disconnected; it may
+/// call again with its key.
+constexpr std::size_t pending_limit_bytes = std::size_t{1024} * 1024;
+
 constexpr std::string_view stream_end = "data: [DONE]\n\n";
 
 } // namespace
@@ -85,6 +89,8 @@
         exchange_->start(http_ok, headers("text/event-stream"));
     is_started_ = true;
     exchange_->send("data: " + std::string(data) + "\n\n");
+    if (exchange_->pending_bytes() > pending_limit_bytes)
+        exchange_->abort();
 }
 
 void send_problem(http_exchange& exchange, refusal const& refused, std::string const& request_key)
