--- a/tests/store_relay.cpp
+++ b/tests/store_relay.cpp
@@ -301,3 +301,45 @@
     cr_assert(result->error == store_error::unanswered);
     it.loop.run_until([&] { return endless->is_disconnected(); });
 }
+
+// Many gateways ask for large pages at once, and the store sends the last byte of each late. Guards
+// against a sum of responses, each within its limit, that fills the memory.
+Test(store_relay, many_large_responses_at_once_stay_within_the_limit)
+{
+    constexpr std::size_t page_bytes = std::size_t{3} * 1024 * 1024;
+    constexpr std::size_t call_count = 30;
+    relay_fixture it;
+    auto const store = *http_server::create(it.loop, {"127.0.0.1:0"});
+    std::vector<std::shared_ptr<http_exchange>> pages;
+    store->route(
+        "*",
+        "/",
+        [&](std::shared_ptr<http_exchange> const& exchange)
+        {
+            pages.push_back(exchange);
+            exchange->start(200, {});
+            exchange->send(std::string(page_bytes, 'x'));
+        });
+    store_relay relay(it.http, store->address(), it.hooks());
+    auto const server = *http_server::create(it.loop, {"127.0.0.1:0"});
+    relay.serve(*server);
+    std::size_t answered = 0;
+    std::size_t rejected = 0;
+    for (std::size_t n = 0; n < call_count; ++n)
+    {
+        http_request request;
+        request.address = server->address();
+        request.path = "/-/log-newest?topic=keyed.op&part=0";
+        http_callbacks callbacks;
+        callbacks.on_headers = [&](http_response_head const& head)
+        { ++(head.status == 200 ? answered : rejected); };
+        callbacks.on_done = [](absl::Status const&) {};
+        it.http.request(std::move(request), std::move(callbacks));
+    }
+    it.loop.run_until([&] { return rejected >= call_count - 12; });
+    for (auto const& page : pages)
+        page->finish();
+    it.loop.run_until([&] { return answered + rejected == call_count; });
+    cr_assert_gt(answered, 3);
+    cr_assert_leq(answered * page_bytes, std::size_t{32} * 1024 * 1024);
+}
