--- a/services/router/router.cpp
+++ b/services/router/router.cpp
@@ -526,7 +526,8 @@
 void router::continue_stop()
 {
     bool const is_late = loop_->now() >= stop_deadline_;
-    // A session ends when its response has been passed to the server, which may still be writing it.
+    // A session ends when its response has been passed to the server, which may still be writing
+    // it.
     bool const is_serving = front_end_.session_count() > 0 || request_server_->exchange_count() > 0;
     if (is_serving && !is_late)
         return;
