--- a/libraries/core/include/almondcart/core/buffer_budget.hpp
+++ b/libraries/core/include/almondcart/core/buffer_budget.hpp
@@ -7,11 +7,12 @@
 
 namespace almondcart {
 
-/// Shares a limit for buffered bytes among all buffers of a process, so that their sum stays within
+/// Shares a limit for buffered bytes among all buffers of a process, so that their sum stays near
 /// it however many peers are slow.
 ///
-/// Each buffer may grow to half of what is free. So a single one gets a third of the limit, many
-/// together approach the limit but never pass it, and small buffers are served even then.
+/// Each buffer may grow to half of what is free. So a single one gets a third of the limit, and
+/// many together approach it. Small buffers are allowed even then; only they can take the sum
+/// beyond it.
 class buffer_budget
 {
 public:
