Tests: Use one fixture for a gateway before a scripted upstream

The set-up of a gateway before one upstream of the test's making stood five times, in gateway_upstream_faults, gateway_memory and gateway_stop, and the head of a signed success in as many. Both stand in support/scripted_fixture now. Assertions, bounds and inputs are unchanged.

--- a/tests/gateway_memory.cpp
+++ b/tests/gateway_memory.cpp
@@ -8,8 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "support/gateway_fixture.hpp"
-#include "support/scripted_upstream.hpp"
+#include "support/scripted_fixture.hpp"
 
 using namespace almondcart;
 using namespace almondcart::test_support;
@@ -159,23 +158,16 @@
 // repeats events, or that is cut, because its upstream is slowed down.
 Test(gateway_memory, a_client_that_reads_slowly_gets_its_whole_stream)
 {
-    gateway_fixture it;
     constexpr int event_count = 20'000;
     auto const content = events(1, event_count);
-    scripted_upstream upstream(
-        it.loop,
+    scripted_fixture it(
         [&](std::string const& id, std::string const&)
         {
-            auto const head = "HTTP/1.1 200 OK\r\nX-Almondcart-Request-Id: " + id +
-                              "\r\nX-Almondcart-Response-Seal: seal\r\nContent-Length: " +
-                              std::to_string(content.size()) + "\r\n\r\n";
+            auto const head =
+                signed_head(id) + "Content-Length: " + std::to_string(content.size()) + "\r\n\r\n";
             return scripted_upstream::reply{head + content, false};
-        });
-    it.route_timeout_ms = 10'000;
-    it.configure(1, 1'000'000);
-    it.store.put(
-        "keyed.servers", "i-1", it.first.registry_entry("models", "ready", upstream.address()));
-    it.wait_until_ready();
+        },
+        10'000);
     auto const client = connect_to(it.listen);
     auto headers = gateway_fixture::client_headers("slow");
     std::erase_if(headers, [](auto const& it) { return it.first == "X-Almondcart-Deadline-Ms"; });
@@ -204,20 +196,13 @@
 // than the request may have. Guards against passing them on as answers.
 Test(gateway_memory, bytes_that_are_no_events_end_a_stream)
 {
-    gateway_fixture it;
     std::string content;
-    scripted_upstream upstream(
-        it.loop,
+    scripted_fixture it(
         [&](std::string const& id, std::string const&)
         {
-            auto const head = "HTTP/1.1 200 OK\r\nX-Almondcart-Request-Id: " + id +
-                              "\r\nX-Almondcart-Response-Seal: seal\r\n\r\n";
+            auto const head = signed_head(id) + "\r\n";
             return scripted_upstream::reply{head + content, true};
         });
-    it.configure(1, 1'000'000);
-    it.store.put(
-        "keyed.servers", "i-1", it.first.registry_entry("models", "ready", upstream.address()));
-    it.wait_until_ready();
     content = events(1, 2) + "\xfe\x01\x80\n\n" + events(3, 3);
     auto const noise = it.ask("/stream/x", "r-1");
     cr_assert_not(noise.is_complete());
--- a/tests/gateway_stop.cpp
+++ b/tests/gateway_stop.cpp
@@ -10,8 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "support/gateway_fixture.hpp"
-#include "support/scripted_upstream.hpp"
+#include "support/scripted_fixture.hpp"
 
 using namespace almondcart;
 using namespace almondcart::test_support;
@@ -67,25 +66,18 @@
 // cut because the gateway takes them for delivered.
 Test(gateway_stop, answers_that_are_still_being_written_are_not_cut)
 {
-    gateway_fixture it;
-    scripted_upstream upstream(
-        it.loop,
+    scripted_fixture it(
         [&](std::string const& id, std::string const&)
         {
             return scripted_upstream::reply{
-                "HTTP/1.1 200 OK\r\nX-Almondcart-Request-Id: " + id +
-                    "\r\nX-Almondcart-Response-Seal: seal\r\nContent-Length: " +
-                    std::to_string(answer_bytes) + "\r\n\r\n" + std::string(answer_bytes, 'x'),
+                signed_head(id) + "Content-Length: " + std::to_string(answer_bytes) + "\r\n\r\n" +
+                    std::string(answer_bytes, 'x'),
                 false};
         });
-    it.configure(1, 1'000'000);
-    it.store.put(
-        "keyed.servers", "i-1", it.first.registry_entry("models", "ready", upstream.address()));
-    it.wait_until_ready();
     std::vector<std::unique_ptr<slow_reader>> clients;
     for (int n = 0; n < 8; ++n)
         clients.push_back(std::make_unique<slow_reader>(it.listen, "r-" + std::to_string(n)));
-    it.run_until([&] { return upstream.request_counts().size() == clients.size(); });
+    it.run_until([&] { return it.upstream.request_counts().size() == clients.size(); });
     it.gateway->send_signal(SIGTERM);
     // At this rate an answer takes about five and a half seconds, which is beyond the time in which
     // new requests are taken.
--- a/tests/gateway_upstream_faults.cpp
+++ b/tests/gateway_upstream_faults.cpp
@@ -5,8 +5,7 @@
 #include <string>
 #include <tuple>
 
-#include "support/gateway_fixture.hpp"
-#include "support/scripted_upstream.hpp"
+#include "support/scripted_fixture.hpp"
 
 using namespace almondcart;
 using namespace almondcart::test_support;
@@ -103,45 +102,38 @@
 
 std::string answer(std::string const& id)
 {
-    return "HTTP/1.1 200 OK\r\nX-Almondcart-Request-Id: " + id +
-           "\r\nX-Almondcart-Response-Seal: seal\r\nContent-Length: 2\r\n\r\nok";
+    return signed_head(id) + "Content-Length: 2\r\n\r\nok";
 }
 
 /// Sends requests to an upstream that refuses the first one on each connection. On the others it
 /// sends `copy` of that refusal first and then an answer.
 void check_late_copies(std::function<std::string(std::string const& earlier_id)> const& copy)
 {
-    gateway_fixture it;
-    scripted_upstream upstream(
-        it.loop,
+    scripted_fixture it(
         [&](std::string const& id, std::string const& earlier_id)
         {
             auto const bytes = earlier_id.empty() ? refusal(id) : copy(earlier_id) + answer(id);
             return scripted_upstream::reply{bytes, false};
         });
-    it.configure(1, 1'000'000);
-    it.store.put(
-        "keyed.servers", "i-1", it.first.registry_entry("models", "ready", upstream.address()));
-    it.wait_until_ready();
     constexpr int request_count = 20;
     constexpr duration pause{150};
     for (int n = 0; n < request_count; ++n)
     {
         auto const id = "r-" + std::to_string(n);
-        auto const reused_before = upstream.reuse_count();
+        auto const reused_before = it.upstream.reuse_count();
         auto const response = it.ask("/unsafe/x", id);
-        bool const has_run = upstream.reuse_count() > reused_before;
+        bool const has_run = it.upstream.reuse_count() > reused_before;
         if (has_run)
             cr_assert_neq(response.head.status, 503, "%s", id.c_str());
         if (response.head.status == 200)
             cr_assert_eq(response.header("X-Almondcart-Request-Id"), id);
-        if (upstream.request_counts().contains(id))
-            cr_assert_eq(upstream.request_counts().at(id), 1);
+        if (it.upstream.request_counts().contains(id))
+            cr_assert_eq(it.upstream.request_counts().at(id), 1);
         // An upstream that was at capacity is left out for a short time.
         auto const end = it.loop.now() + pause;
         it.run_until([&] { return it.loop.now() >= end; });
     }
-    cr_assert_gt(upstream.reuse_count(), 0);
+    cr_assert_gt(it.upstream.reuse_count(), 0);
 }
 
 } // namespace
@@ -165,20 +157,13 @@
     gateway_upstream_faults,
     a_response_that_ends_with_its_connection_is_complete_after_a_whole_event)
 {
-    gateway_fixture it;
     std::string content;
-    scripted_upstream upstream(
-        it.loop,
+    scripted_fixture it(
         [&](std::string const& id, std::string const&)
         {
-            auto const head = "HTTP/1.1 200 OK\r\nX-Almondcart-Request-Id: " + id +
-                              "\r\nX-Almondcart-Response-Seal: seal\r\n\r\n";
+            auto const head = signed_head(id) + "\r\n";
             return scripted_upstream::reply{head + content, true};
         });
-    it.configure(1, 1'000'000);
-    it.store.put(
-        "keyed.servers", "i-1", it.first.registry_entry("models", "ready", upstream.address()));
-    it.wait_until_ready();
     content = events(1, 6);
     auto const whole = it.ask("/stream/x", "r-1");
     cr_assert(whole.is_complete());
@@ -193,25 +178,6 @@
     cr_assert_eq(plain.body, content);
 }
 
-namespace {
-
-/// A gateway before one upstream of the test's making.
-struct scripted_fixture : gateway_fixture
-{
-    explicit scripted_fixture(scripted_upstream::script script)
-        : upstream(loop, std::move(script))
-    {
-        configure(1, 1'000'000);
-        store.put(
-            "keyed.servers", "i-1", first.registry_entry("models", "ready", upstream.address()));
-        wait_until_ready();
-    }
-
-    scripted_upstream upstream;
-};
-
-} // namespace
-
 // An upstream sends whole responses without its signature, or larger than the limit, of which all
 // bytes arrive at once. Guards against a gateway that ends with all its other requests.
 Test(gateway_upstream_faults, a_response_that_is_given_up_at_its_last_bytes_ends_no_gateway)
