Core: Name the bound of counts once

count_limit stood behind an alias in ten files, and the document had the same number as a limit of its own. No value changes.

--- a/libraries/document/src/service_document.cpp
+++ b/libraries/document/src/service_document.cpp
@@ -1,3 +1,4 @@
+#include <almondcart/core/count.hpp>
 #include <almondcart/core/json_members.hpp>
 #include <almondcart/core/status.hpp>
 #include <almondcart/document/service_document.hpp>
@@ -16,7 +17,6 @@
 
 constexpr std::array<std::string_view, 2> preference_names = {{"false_refusals", "overspend"}};
 
-constexpr std::int64_t total_tokens_limit = 1'000'000'000'000'000;
 constexpr std::int64_t output_tokens_limit = 1'000'000;
 constexpr std::int64_t tokens_per_call_limit = 1'000'000'000;
 constexpr std::int64_t deadline_limit_ms = 86'400'000;
@@ -35,7 +35,7 @@
     budget_definition budget;
     budget.account = read_name(reader, "account");
     budget.name = read_name(reader, "name");
-    budget.total_tokens = reader.integer("total_tokens", 0, total_tokens_limit);
+    budget.total_tokens = reader.integer("total_tokens", 0, count_limit);
     budget.preference =
         read_budget_preference(reader, reader.string_or("preference", "false_refusals"));
     return budget;
--- a/libraries/gate/src/dispatch.cpp
+++ b/libraries/gate/src/dispatch.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr std::int64_t number_limit = count_limit;
-
 /// Token limit of one request. It keeps sums of grant parts from overflowing.
 constexpr token_count request_token_limit = 1'000'000'000;
 constexpr std::size_t grant_limit = 1000;
@@ -26,14 +24,14 @@
         reader.fail("request", "a request id \"service/account#key\"");
     value.attempt = static_cast<int>(reader.integer("attempt", 1, 1'000'000));
     value.fingerprint = reader.string("fingerprint");
-    value.intent_offset = reader.integer_or("intent_offset", -1, number_limit, -1);
-    value.config_offset = reader.integer_or("config_offset", -1, number_limit, -1);
-    value.from_frame = reader.integer_or("from_frame", 0, number_limit, 0);
+    value.intent_offset = reader.integer_or("intent_offset", -1, count_limit, -1);
+    value.config_offset = reader.integer_or("config_offset", -1, count_limit, -1);
+    value.from_frame = reader.integer_or("from_frame", 0, count_limit, 0);
 }
 
 void read_limits(json_reader& reader, dispatch& value)
 {
-    value.started_ms = reader.integer("started_ms", 0, number_limit);
+    value.started_ms = reader.integer("started_ms", 0, count_limit);
     value.grants = read_grant_parts(reader, "grants");
     value.kind = reader.string("kind");
     value.is_idempotent = reader.boolean("idempotent");
@@ -42,7 +40,7 @@
     value.output_cap = reader.integer("output_cap", 0, request_token_limit);
     value.priority =
         static_cast<int>(reader.integer("priority", 0, service_document::priority_limit));
-    value.deadline_ms = reader.integer("deadline_ms", 0, number_limit);
+    value.deadline_ms = reader.integer("deadline_ms", 0, count_limit);
 }
 
 void read_call(json_reader& reader, dispatch& value)
--- a/libraries/gate/src/frame.cpp
+++ b/libraries/gate/src/frame.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr std::int64_t number_limit = count_limit;
-
 Json::Value to_json(data_frame const& frame)
 {
     Json::Value json;
@@ -59,7 +57,7 @@
 final_frame read_final(json_reader& reader)
 {
     final_frame frame;
-    frame.number = reader.integer("frame", 0, number_limit);
+    frame.number = reader.integer("frame", 0, count_limit);
     if (!reader.boolean("final"))
         reader.fail("final", "true");
     if (reader.has("code"))
@@ -70,12 +68,12 @@
         "usage",
         [&](json_reader& it)
         {
-            frame.usage.prompt = it.integer("prompt", 0, number_limit / 2);
-            frame.usage.output = it.integer("output", 0, number_limit / 2);
-            if (it.integer("total", 0, number_limit) != frame.usage.total())
+            frame.usage.prompt = it.integer("prompt", 0, count_limit / 2);
+            frame.usage.output = it.integer("output", 0, count_limit / 2);
+            if (it.integer("total", 0, count_limit) != frame.usage.total())
                 it.fail("total", "the sum of prompt and output");
         });
-    frame.started_ms = reader.integer("started_ms", 0, number_limit);
+    frame.started_ms = reader.integer("started_ms", 0, count_limit);
     frame.parts = read_grant_parts(reader, "parts");
     frame.data = reader.string("data");
     return frame;
@@ -94,9 +92,9 @@
     if (reader.has("final"))
         return read_final(reader);
     data_frame frame;
-    frame.number = reader.integer("frame", 0, number_limit);
+    frame.number = reader.integer("frame", 0, count_limit);
     frame.data = reader.string("data");
-    frame.tokens = reader.integer("tokens", 0, number_limit);
+    frame.tokens = reader.integer("tokens", 0, count_limit);
     return frame;
 }
 
--- a/libraries/gate/src/heartbeat.cpp
+++ b/libraries/gate/src/heartbeat.cpp
@@ -10,7 +10,6 @@
 
 namespace {
 
-constexpr std::int64_t number_limit = count_limit;
 constexpr std::int64_t running_limit = std::numeric_limits<int>::max();
 
 process_id read_process(json_reader& reader, std::string_view name)
@@ -97,7 +96,7 @@
     value.upstream = reader.string("upstream");
     value.address = reader.string("address");
     value.is_leaving = reader.boolean("leaving");
-    value.config_offset = reader.integer("config_offset", -1, number_limit);
+    value.config_offset = reader.integer("config_offset", -1, count_limit);
     value.queue = static_cast<int>(reader.integer("queue", 0, running_limit));
     value.running = static_cast<int>(reader.integer("running", 0, running_limit));
     value.free_slots = static_cast<int>(reader.integer("free_slots", 0, running_limit));
@@ -121,7 +120,7 @@
     agent_heartbeat_result value;
     json_reader reader(json, "heartbeat result", result_code::malformed_request);
     value.router = read_process(reader, "router");
-    value.config_offset = reader.integer("config_offset", -1, number_limit);
+    value.config_offset = reader.integer("config_offset", -1, count_limit);
     value.is_registered = reader.boolean("registered");
     if (auto const status = reader.finish(); !status.ok())
         return status;
--- a/libraries/ledger/src/budget_shard_json.cpp
+++ b/libraries/ledger/src/budget_shard_json.cpp
@@ -16,8 +16,6 @@
 using detail::read_process_ids;
 using detail::read_request_id;
 
-constexpr std::int64_t number_limit = count_limit;
-
 struct counter_member
 {
     char const* name;
@@ -61,18 +59,18 @@
 {
     budget_entry entry;
     entry.id = read_budget_id(reader, "budget");
-    entry.total = reader.integer("total", 0, number_limit);
+    entry.total = reader.integer("total", 0, count_limit);
     entry.preference = read_budget_preference(reader, reader.string("preference"));
-    entry.document_version = reader.integer("document_version", 0, number_limit);
-    entry.settled = reader.integer("settled", 0, number_limit);
-    entry.charged = reader.integer("charged", 0, number_limit);
-    entry.billed = reader.integer("billed", 0, number_limit);
+    entry.document_version = reader.integer("document_version", 0, count_limit);
+    entry.settled = reader.integer("settled", 0, count_limit);
+    entry.charged = reader.integer("charged", 0, count_limit);
+    entry.billed = reader.integer("billed", 0, count_limit);
     reader.objects(
         "demand",
         [&entry](json_reader& it)
         {
             process_id const holder = read_process_id(it, "holder");
-            entry.demand_tokens_per_s[holder] = it.integer("tokens_per_s", 0, number_limit);
+            entry.demand_tokens_per_s[holder] = it.integer("tokens_per_s", 0, count_limit);
         });
     return entry;
 }
@@ -99,10 +97,10 @@
     entry.id = read_grant_id(reader, "grant");
     entry.budget = read_budget_id(reader, "budget");
     entry.holder = read_process_id(reader, "holder");
-    entry.amount = reader.integer("amount", 1, number_limit);
+    entry.amount = reader.integer("amount", 1, count_limit);
     entry.billed = reader.integer("billed", 0, entry.amount - 1);
-    entry.granted_at_ms = reader.integer("granted_at_ms", 0, number_limit);
-    entry.closed_at = reader.integer("closed_at", -1, number_limit);
+    entry.granted_at_ms = reader.integer("granted_at_ms", 0, count_limit);
+    entry.closed_at = reader.integer("closed_at", -1, count_limit);
     entry.state = entry.closed_at < 0 ? grant_state::open : grant_state::closed;
     auto const reports = read_process_ids(reader, "reports");
     entry.reports.insert(reports.begin(), reports.end());
@@ -126,9 +124,9 @@
     agent_entry entry;
     entry.id = read_process_id(reader, "agent");
     entry.upstream = reader.string("upstream");
-    entry.started_at = reader.integer("started_at", 0, number_limit);
-    entry.stopped_at = reader.integer("stopped_at", -1, number_limit);
-    entry.stopped_ms = reader.integer("stopped_ms", -1, number_limit);
+    entry.started_at = reader.integer("started_at", 0, count_limit);
+    entry.stopped_at = reader.integer("stopped_at", -1, count_limit);
+    entry.stopped_ms = reader.integer("stopped_ms", -1, count_limit);
     entry.is_drained = reader.boolean("drained");
     return entry;
 }
@@ -196,8 +194,8 @@
     intent.attempt = read_int(reader, "attempt");
     intent.agent = read_process_id(reader, "agent");
     intent.fingerprint = reader.string("fingerprint");
-    intent.started_ms = reader.integer("started_ms", 0, number_limit);
-    entry.intent_offset = reader.integer("offset", 0, number_limit);
+    intent.started_ms = reader.integer("started_ms", 0, count_limit);
+    entry.intent_offset = reader.integer("offset", 0, count_limit);
     entry.intent = std::make_shared<intent_record const>(std::move(intent));
 }
 
@@ -220,10 +218,10 @@
 request_entry read_request_entry(json_reader& reader, request_id const& id)
 {
     request_entry entry;
-    entry.last_time_ms = reader.integer("last_time_ms", 0, number_limit);
-    entry.billed_offset = reader.integer_or("billed_offset", 0, number_limit, -1);
+    entry.last_time_ms = reader.integer("last_time_ms", 0, count_limit);
+    entry.billed_offset = reader.integer_or("billed_offset", 0, count_limit, -1);
     entry.is_billed = entry.billed_offset >= 0;
-    entry.billed_tokens = reader.integer_or("billed_tokens", 0, number_limit, 0);
+    entry.billed_tokens = reader.integer_or("billed_tokens", 0, count_limit, 0);
     entry.voided_attempts = reader.has("voided_attempts") ? read_int(reader, "voided_attempts") : 0;
     if (reader.has("intent"))
         reader.object("intent", [&](json_reader& it) { read_intent(it, id, entry); });
@@ -280,8 +278,8 @@
 
 void budget_shard_state::read_members(json_reader& reader)
 {
-    offset_ = reader.integer("offset", -1, number_limit);
-    time_ms_ = reader.integer("time_ms", 0, number_limit);
+    offset_ = reader.integer("offset", -1, count_limit);
+    time_ms_ = reader.integer("time_ms", 0, count_limit);
     reader.objects(
         "budgets",
         [this](json_reader& it)
@@ -317,7 +315,7 @@
         [this](json_reader& it)
         {
             for (auto const& [name, member] : refusal_members)
-                refusals_.*member = it.integer(name, 0, number_limit);
+                refusals_.*member = it.integer(name, 0, count_limit);
         });
 }
 
@@ -328,7 +326,7 @@
         [this](json_reader& it)
         {
             grant_id const id = read_grant_id(it, "grant");
-            recovered_[id] = it.integer("time_ms", 0, number_limit);
+            recovered_[id] = it.integer("time_ms", 0, count_limit);
             recovered_expiry_.emplace_back(recovered_[id], id);
         });
     std::ranges::sort(recovered_expiry_);
--- a/libraries/ledger/src/checkpoint.cpp
+++ b/libraries/ledger/src/checkpoint.cpp
@@ -71,17 +71,16 @@
 
 absl::StatusOr<checkpoint_part> parse_checkpoint_part(Json::Value const& value)
 {
-    constexpr auto number_limit = count_limit;
     json_reader reader(value, "checkpoint part", result_code::malformed_request);
     if (reader.string("type") != checkpoint_record_type)
         reader.fail("type", "\"checkpoint\"");
     detail::read_process_id(reader, "writer");
-    reader.integer("sequence", 0, number_limit);
+    reader.integer("sequence", 0, count_limit);
     checkpoint_part part;
     part.checkpoint = reader.string("checkpoint");
     part.parts = static_cast<int>(reader.integer("parts", 1, parts_limit));
     part.part = static_cast<int>(reader.integer("part", 0, part.parts - 1));
-    part.through_offset = reader.integer("through_offset", -1, number_limit);
+    part.through_offset = reader.integer("through_offset", -1, count_limit);
     part.state = reader.string("state");
     if (auto status = reader.finish(); !status.ok())
         return status;
--- a/libraries/ledger/src/configuration_state.cpp
+++ b/libraries/ledger/src/configuration_state.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr std::int64_t number_limit = count_limit;
-
 struct counter_member
 {
     char const* name;
@@ -265,8 +263,8 @@
 
 void configuration_state::read_members(json_reader& reader)
 {
-    offset_ = reader.integer("offset", -1, number_limit);
-    time_ms_ = reader.integer("time_ms", 0, number_limit);
+    offset_ = reader.integer("offset", -1, count_limit);
+    time_ms_ = reader.integer("time_ms", 0, count_limit);
     reader.objects("documents", [this](json_reader& it) { read_document(it); });
     reader.objects("results", [this](json_reader& it) { read_result(it); });
     reader.objects(
@@ -274,7 +272,7 @@
         [this](json_reader& it)
         {
             crash_entry& entry = crashes_[it.string("fingerprint")];
-            entry.last_offset = it.integer("last_offset", 0, number_limit);
+            entry.last_offset = it.integer("last_offset", 0, count_limit);
             auto const agents = it.strings("agents");
             entry.agents.insert(agents.begin(), agents.end());
         });
@@ -284,16 +282,16 @@
         [this](json_reader& it)
         {
             for (auto const& [name, member] : refusal_members)
-                refusals_.*member = it.integer(name, 0, number_limit);
+                refusals_.*member = it.integer(name, 0, count_limit);
         });
 }
 
 void configuration_state::read_document(json_reader& reader)
 {
     published_document published;
-    published.version = reader.integer("version", 1, number_limit);
-    published.offset = reader.integer("offset", 0, number_limit);
-    published.time_ms = reader.integer("time_ms", 0, number_limit);
+    published.version = reader.integer("version", 1, count_limit);
+    published.offset = reader.integer("offset", 0, count_limit);
+    published.time_ms = reader.integer("time_ms", 0, count_limit);
     published.author = reader.string("author");
     auto document = service_document::parse(reader.value_or_null("document"), "document");
     if (!document.ok())
@@ -310,10 +308,10 @@
 {
     publish_result result;
     result.writer = detail::read_process_id(reader, "writer");
-    result.sequence = reader.integer("sequence", 0, number_limit);
+    result.sequence = reader.integer("sequence", 0, count_limit);
     result.service = reader.string("service");
     result.is_accepted = reader.boolean("is_accepted");
-    result.version = reader.integer("version", 0, number_limit);
+    result.version = reader.integer("version", 0, count_limit);
     result.reason = reader.string("reason");
     results_.push_back(std::move(result));
 }
--- a/libraries/ledger/src/records.cpp
+++ b/libraries/ledger/src/records.cpp
@@ -17,7 +17,6 @@
 using detail::read_process_ids;
 using detail::read_request_id;
 
-constexpr std::int64_t number_limit = count_limit;
 constexpr int attempt_limit = 1'000'000;
 
 /// In the order of `record_body`.
@@ -141,7 +140,7 @@
 {
     publish_record body;
     body.service = read_name(reader, "service");
-    body.base_version = reader.integer("base_version", 0, number_limit);
+    body.base_version = reader.integer("base_version", 0, count_limit);
     body.document = reader.value_or_null("document");
     body.author = reader.string("author");
     return body;
@@ -163,7 +162,7 @@
     body.budget = read_budget_id(reader, "budget");
     body.total_tokens = reader.integer("total_tokens", 0, token_count_limit);
     body.preference = read_budget_preference(reader, reader.string("preference"));
-    body.document_version = reader.integer("document_version", 1, number_limit);
+    body.document_version = reader.integer("document_version", 1, count_limit);
     return body;
 }
 
@@ -228,7 +227,7 @@
     body.attempt = read_attempt(reader);
     body.agent = read_process_id(reader, "agent");
     body.fingerprint = reader.string("fingerprint");
-    body.started_ms = reader.integer("started_ms", 0, number_limit);
+    body.started_ms = reader.integer("started_ms", 0, count_limit);
     return body;
 }
 
@@ -381,7 +380,7 @@
 {
     usage_item item;
     item.request = read_request_id(reader, "request");
-    item.started_ms = reader.integer("started_ms", 0, number_limit);
+    item.started_ms = reader.integer("started_ms", 0, count_limit);
     reader.objects(
         "parts", [&item](json_reader& it) { item.parts.push_back(read_grant_part(it)); });
     return item;
@@ -409,9 +408,9 @@
             continue;
         log_record record;
         record.writer = read_process_id(reader, "writer");
-        record.sequence = reader.integer("sequence", 0, number_limit);
+        record.sequence = reader.integer("sequence", 0, count_limit);
         record.logical_time =
-            static_cast<std::uint64_t>(reader.integer_or("logical_time", 0, number_limit, 0));
+            static_cast<std::uint64_t>(reader.integer_or("logical_time", 0, count_limit, 0));
         record.body = body_readers.at(i)(reader);
         if (auto status = reader.finish(); !status.ok())
             return status;
--- a/libraries/ledger/src/writer_sequences.cpp
+++ b/libraries/ledger/src/writer_sequences.cpp
@@ -56,15 +56,14 @@
 
 void writer_sequences::read(json_reader& reader, std::string_view name)
 {
-    constexpr auto limit = count_limit;
     reader.objects(
         name,
         [this](json_reader& it)
         {
             process_id const writer = detail::read_process_id(it, "writer");
             writer_entry& entry = writers_[writer];
-            entry.sequence = it.integer("sequence", 0, limit);
-            entry.time_ms = it.integer("time_ms", 0, limit);
+            entry.sequence = it.integer("sequence", 0, count_limit);
+            entry.time_ms = it.integer("time_ms", 0, count_limit);
             expiry_.emplace(entry.time_ms, writer);
         });
 }
--- a/services/router/control_service.cpp
+++ b/services/router/control_service.cpp
@@ -12,8 +12,6 @@
 
 namespace {
 
-constexpr std::int64_t number_limit = count_limit;
-
 absl::Status malformed(std::string_view detail)
 {
     return make_status(result_code::malformed_request, detail);
@@ -118,7 +116,7 @@
 control_service::result control_service::configuration_since(Json::Value const& params)
 {
     json_reader reader(params, "configuration_since", result_code::malformed_request);
-    auto const offset = reader.integer("offset", -1, number_limit);
+    auto const offset = reader.integer("offset", -1, count_limit);
     if (auto status = reader.finish(); !status.ok())
         return status;
     auto const& configuration = context_.state.configuration();
@@ -140,7 +138,7 @@
 {
     json_reader reader(params, "shard_snapshot", result_code::malformed_request);
     auto const shard = static_cast<int>(reader.integer("shard", 0, budget_shard_count - 1));
-    auto const above = reader.integer("above_offset", -1, number_limit);
+    auto const above = reader.integer("above_offset", -1, count_limit);
     if (auto status = reader.finish(); !status.ok())
         return status;
     auto const& state = context_.state.shard(shard);
@@ -156,7 +154,7 @@
     json_reader reader(params, "transfer_tokens", result_code::malformed_request);
     auto const transfer = parse_transfer_id(reader.string("transfer"));
     auto const budget = parse_budget_id(reader.string("budget"));
-    auto const tokens = reader.integer("tokens", 1, number_limit);
+    auto const tokens = reader.integer("tokens", 1, count_limit);
     if (auto status = reader.finish(); !status.ok())
         return status;
     if (!transfer || !budget)
--- a/services/router/peer_links.cpp
+++ b/services/router/peer_links.cpp
@@ -14,7 +14,6 @@
 
 constexpr duration heartbeat_timeout{1'000};
 constexpr duration fetch_timeout{5'000};
-constexpr std::int64_t offset_limit = count_limit;
 
 } // namespace
 
@@ -74,7 +73,7 @@
     peer_presence presence;
     presence.address = reader.string("address");
     presence.is_leaving = reader.boolean("leaving");
-    auto const config_offset = reader.integer("config_offset", -1, offset_limit);
+    auto const config_offset = reader.integer("config_offset", -1, count_limit);
     auto const offsets = reader.value_or_null("shard_offsets");
     if (!offsets.isArray() || offsets.size() != budget_shard_count)
         reader.fail("shard_offsets", "one offset for each shard");
