Gateway: Bound what clients may hold by memory and descriptors

Clients that sent many bodies which stop short of their end, in large chunks or chunks of one byte, or pipelined requests whose answers they did not read, took a gateway far beyond its memory. The sum that buffer_budget bounds was counted after each read, by size, and without the socket's input buffer, the copy of each read, unread input, the copies for upstreams and freed memory that the C library keeps. Connections were not limited at all.

A connection now asks the budget before each read. All reads share one buffer; bodies grow by realloc, are counted by capacity, and go to upstreams without a copy. Reading pauses without memory; a request that gets none for 500 ms is refused with 503, and stalled ones give way. Requests behind another one are read once its answer is taken. Whole bodies have a deadline. Connections are limited by memory_mb and the new setting max_descriptors. byte_stream also lets h2o poll anew after each write: the crowd of large chunks ended the test process, which uses the same class, by h2o's assertion in write_pending.

--- a/libraries/core/include/almondcart/core/buffer_budget.hpp
+++ b/libraries/core/include/almondcart/core/buffer_budget.hpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <limits>
 #include <memory>
 #include <utility>
 
@@ -12,15 +13,18 @@
 ///
 /// Each buffer may grow to half of what is free. So a single one gets a third of the limit, and
 /// many together approach it. Small buffers are allowed even then; only they can take the sum
-/// beyond it.
+/// beyond it, by `overrun_bytes` at most.
 class buffer_budget
 {
 public:
     /// Size up to which a buffer is always allowed.
     static constexpr std::size_t guaranteed_bytes = std::size_t{16} * 1024;
 
-    explicit buffer_budget(std::size_t limit_bytes)
+    explicit buffer_budget(
+        std::size_t limit_bytes,
+        std::size_t overrun_bytes = std::numeric_limits<std::size_t>::max())
         : limit_bytes_(limit_bytes)
+        , overrun_bytes_(overrun_bytes)
     {}
 
     std::size_t limit_bytes() const { return limit_bytes_; }
@@ -34,10 +38,20 @@
         return std::max(guaranteed_bytes, free / share_divisor);
     }
 
+    /// Whether `bytes` more may be taken by buffers that are within their share.
+    bool has_room(std::size_t bytes) const
+    {
+        if (used_bytes_ <= limit_bytes_)
+            return true;
+        auto const overrun = used_bytes_ - limit_bytes_;
+        return overrun <= overrun_bytes_ && bytes <= overrun_bytes_ - overrun;
+    }
+
 private:
     friend class buffer_account;
 
     std::size_t limit_bytes_;
+    std::size_t overrun_bytes_;
     std::size_t used_bytes_ = 0;
 };
 
@@ -63,7 +77,11 @@
     std::size_t bytes() const { return bytes_; }
 
     /// Whether the buffer may hold `bytes` in all.
-    bool allows(std::size_t bytes) const { return bytes <= budget_->share_bytes(); }
+    bool allows(std::size_t bytes) const
+    {
+        return bytes <= budget_->share_bytes() &&
+               (bytes <= bytes_ || budget_->has_room(bytes - bytes_));
+    }
 
     std::shared_ptr<buffer_budget> const& budget() const { return budget_; }
 
--- a/libraries/http1/include/almondcart/http1/byte_stream.hpp
+++ b/libraries/http1/include/almondcart/http1/byte_stream.hpp
@@ -19,6 +19,9 @@
     failed,         ///< connection refused, reset or timed out; bytes may be missing
 };
 
+/// Largest number of bytes passed to `on_data` at once.
+inline constexpr std::size_t read_piece_bytes = std::size_t{64} * 1024;
+
 /// Bytes received and sent by all streams of this process.
 struct byte_totals
 {
@@ -36,6 +39,10 @@
     {
         std::function<void()> on_connected;
         std::function<void(std::string_view)> on_data;
+
+        /// Returns how many bytes may be read next, so that their owner takes the memory for them
+        /// first. Reading is paused if it returns 0. Optional.
+        std::function<std::size_t()> read_limit;
         std::function<void(close_reason)> on_end;
 
         /// Called each time all bytes passed to `write` have left the process.
@@ -56,6 +63,9 @@
 
     void write(std::string_view data);
 
+    /// Writes `data` without a copy. `owner` keeps it unchanged until it is written.
+    void write_shared(std::string_view data, std::shared_ptr<void const> owner);
+
     /// Lets the peer see a reset instead of an orderly end when the connection is closed.
     void reset_on_close();
 
@@ -64,11 +74,23 @@
     void pause_reading();
     void resume_reading();
 
+    /// Whether the peer has closed or reset the connection; for a stream that is paused.
+    bool is_ended_by_peer() const;
+
+    /// Limits what the kernel may hold of bytes that were not read yet, to about `bytes`.
+    void set_receive_window(int bytes);
+
     static byte_totals const& totals();
 
+    /// Number of open streams of this process, each with one descriptor.
+    static std::size_t open_count();
+
     /// Number of bytes buffered for writing.
     std::size_t pending_bytes() const;
 
+    /// Memory held for writing, in bytes.
+    std::size_t write_capacity() const;
+
 private:
     struct state;
 
--- a/libraries/http1/include/almondcart/http1/inbound_server.hpp
+++ b/libraries/http1/include/almondcart/http1/inbound_server.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <almondcart/core/buffer_budget.hpp>
+#include <almondcart/http1/body_buffer.hpp>
 #include <almondcart/http1/byte_stream.hpp>
+#include <almondcart/http1/client_limit.hpp>
 #include <almondcart/http1/message.hpp>
 
 #include <absl/status/statusor.h>
@@ -37,7 +39,7 @@
     inbound_exchange& operator=(inbound_exchange const&) = delete;
 
     request_head const& head() const { return head_; }
-    std::string const& body() const { return body_; }
+    std::string_view body() const { return body_.view(); }
 
     /// Sends a complete response. `headers` must not contain connection or framing headers.
     void respond(int status, http_headers const& headers, std::string_view body);
@@ -74,7 +76,7 @@
 
     std::weak_ptr<inbound_connection> connection_;
     request_head head_;
-    std::string body_;
+    body_buffer body_;
     std::function<void()> disconnect_callback_;
     std::function<void()> drained_callback_;
     std::unique_ptr<buffer_account> body_account_;
@@ -102,9 +104,16 @@
     void set_limits(inbound_limits limits);
 
     /// Counts what is buffered for clients and from them in `budget`. Must be called before the
-    /// first connection. A body beyond its share is refused with 503.
+    /// first connection. A body that gets no room within a short time is refused with 503.
     void set_buffer_budget(std::shared_ptr<buffer_budget> budget);
 
+    /// Limits the number of connections. Near the limit, requests on new ones are refused with 503,
+    /// and connections that make no progress are closed.
+    void set_connection_limit(std::size_t n);
+
+    /// Sets a callback for each time a limit turns a client away, with the client's address.
+    void on_limit(std::function<void(client_limit, std::string const&)> callback);
+
     /// While draining, each connection closes after its next response.
     void set_draining(bool is_draining);
 
--- a/libraries/http1/include/almondcart/http1/outbound_connection.hpp
+++ b/libraries/http1/include/almondcart/http1/outbound_connection.hpp
@@ -50,6 +50,14 @@
     /// Sends a complete request. The connection must be idle.
     void send(std::string_view method, std::string_view request, exchange_callbacks callbacks);
 
+    /// Sends a request whose body is not copied. `owner` keeps the body unchanged until it is sent.
+    void send(
+        std::string_view method,
+        std::string_view head,
+        std::string_view body,
+        std::shared_ptr<void const> owner,
+        exchange_callbacks callbacks);
+
     /// Stops and continues reading the response, so that the server does not send faster than the
     /// response is passed on. The next exchange reads in any case.
     void pause_reading();
--- a/libraries/http1/src/inbound_connection.cpp
+++ b/libraries/http1/src/inbound_connection.cpp
@@ -1,7 +1,6 @@
 #include "inbound_connection.hpp"
 
-#include <array>
-#include <charconv>
+#include <algorithm>
 #include <utility>
 
 namespace almondcart::http1 {
@@ -18,6 +17,14 @@
 /// unread bytes resets the connection and the client may lose the response.
 constexpr duration linger_time{500};
 
+/// Memory of a parsed head and of what is derived from it, for each byte of the head.
+constexpr std::size_t head_cost_factor = 4;
+
+/// Time for a whole body: a multiple of the header timeout, and the time that its bytes take at the
+/// lowest speed. Both are far from what a client on a slow link needs.
+constexpr int body_timeout_factor = 5;
+constexpr std::int64_t slowest_bytes_per_ms = 4;
+
 bool expects_continue(request_head const& head)
 {
     auto const value = find_header(head.headers, "expect");
@@ -28,9 +35,11 @@
 
 inbound_connection::inbound_connection(
     std::weak_ptr<inbound_server::state> server,
-    event_loop& loop)
+    event_loop& loop,
+    std::string peer)
     : server_(std::move(server))
     , loop_(loop)
+    , peer_(std::move(peer))
     , account_(server_.lock()->buffers)
 {}
 
@@ -43,10 +52,14 @@
 {
     byte_stream::callbacks hooks;
     hooks.on_data = [this](std::string_view data) { receive(data); };
+    hooks.read_limit = [this] { return read_limit(); };
     hooks.on_end = [this](close_reason /*reason*/) { close(); };
     hooks.on_drained = [this] { handle_drained(); };
     stream_ = byte_stream::adopt(loop_, fd, std::move(hooks));
-    arm_timer(limits().idle_timeout);
+    idle_since_ = loop_.now();
+    auto const server = server_.lock();
+    is_refused_ = server && server->is_crowded();
+    arm_timer(is_refused_ ? limits().header_timeout : limits().idle_timeout);
 }
 
 void inbound_connection::close()
@@ -57,7 +70,10 @@
     incoming_.reset();
     account_.resize(0);
     if (auto const server = server_.lock())
+    {
+        server->paused.erase(this);
         server->connections.erase(this);
+    }
     if (auto const exchange = exchange_.lock())
     {
         exchange_.reset();
@@ -83,18 +99,21 @@
     if (is_closing_)
         return;
     auto const self = shared_from_this();
-    input_ += data;
-    update_account();
-    if (phase_ == phase::response)
+    if (is_refused_)
     {
-        // Limits the bytes that a client may pipeline while it waits for a response.
-        auto const limit = limits();
-        if (input_.size() > limit.header_bytes + limit.body_bytes ||
-            !account_.allows(input_.size()))
-            close();
+        refuse_for(client_limit::connections);
         return;
     }
-    read_requests();
+    note_progress(data.size());
+    // Bytes of a body are decoded from where they were read to.
+    if (phase_ == phase::body && input_.empty() && !read_body(data) && data.empty())
+        return;
+    if (stream_ == nullptr || is_closing_)
+        return;
+    input_ += data;
+    update_account();
+    if (phase_ != phase::response)
+        read_requests();
 }
 
 void inbound_connection::write(std::string_view data)
@@ -112,7 +131,8 @@
 
 void inbound_connection::update_account()
 {
-    account_.resize(input_.size() + unwritten_bytes());
+    auto const held = input_.capacity() > own_input_bytes ? input_.capacity() : 0;
+    account_.resize(held + (stream_ == nullptr ? 0 : stream_->write_capacity()));
 }
 
 void inbound_connection::handle_drained()
@@ -125,7 +145,10 @@
     }
     auto const exchange = exchange_.lock();
     if (exchange == nullptr)
+    {
+        post_read();
         return;
+    }
     if (auto const callback = exchange->drained_callback_)
         callback();
 }
@@ -136,19 +159,30 @@
         return;
     auto const self = shared_from_this();
     is_reading_ = true;
-    bool should_continue = true;
-    while (should_continue && stream_ != nullptr && !is_closing_)
+    while (stream_ != nullptr && !is_closing_ && read_input())
+    {}
+    is_reading_ = false;
+    if (stream_ == nullptr)
+        return;
+    if (input_.empty() && input_.capacity() > own_input_bytes)
+        std::string().swap(input_);
+    update_account();
+}
+
+bool inbound_connection::read_input()
+{
+    if (phase_ == phase::head)
     {
-        if (phase_ == phase::head)
-            should_continue = !input_.empty() && read_head();
-        else if (phase_ == phase::body)
-            should_continue = read_body();
-        else
-            should_continue = false;
+        // The next request is read once the client has taken the answer before it.
+        return !input_.empty() && unwritten_bytes() == 0 && read_head();
     }
-    is_reading_ = false;
-    if (stream_ != nullptr)
-        update_account();
+    if (phase_ == phase::response)
+        return false;
+    std::string_view data = input_;
+    bool const is_complete = read_body(data);
+    if (stream_ != nullptr && !is_closing_)
+        input_.erase(0, input_.size() - data.size());
+    return is_complete;
 }
 
 bool inbound_connection::read_head()
@@ -159,6 +193,8 @@
         incoming_ = std::make_shared<inbound_exchange>(weak_from_this());
         incoming_->is_finished_ = true; // not yet passed to the handler
         arm_timer(limit.header_timeout);
+        progress_time_ = loop_.now();
+        progress_bytes_ = 0;
     }
     std::size_t consumed = 0;
     auto const result = parse_request_head(input_, incoming_->head_, consumed);
@@ -187,16 +223,35 @@
         expects_continue(incoming_->head_))
         write("HTTP/1.1 100 Continue\r\n\r\n");
     decoder_.emplace(*description);
+    body_length_ = description->framing == body_framing::length ? description->length : 0;
+    body_start_ = loop_.now();
+    head_cost_ = consumed * head_cost_factor;
+    window_cost_ = 0;
     incoming_->body_account_ = std::make_unique<buffer_account>(account_.budget());
     phase_ = phase::body;
+    constexpr std::size_t largest_share_divisor = 3;
+    if (body_length_ > account_.budget()->limit_bytes() / largest_share_divisor)
+    {
+        refuse_for(client_limit::memory); // will never fit
+        return false;
+    }
+    if (description->framing == body_framing::none)
+        incoming_->body_account_->resize(head_cost_);
     return true;
 }
 
-bool inbound_connection::read_body()
+bool inbound_connection::read_body(std::string_view& data)
 {
-    std::string_view data = input_;
-    auto const result = decoder_->feed(data, incoming_->body_);
-    input_.erase(0, input_.size() - data.size());
+    if (!data.empty() && !reserve_body(data.size()))
+    {
+        pause(pause_reason::memory);
+        return false;
+    }
+    // Shared by all connections, because it is used up at once.
+    static std::string content;
+    content.clear();
+    auto const result = decoder_->feed(data, content);
+    incoming_->body_.append(content);
     if (incoming_->body_.size() > limits().body_bytes)
     {
         reject(content_too_large);
@@ -207,15 +262,12 @@
         reject(bad_request);
         return false;
     }
-    if (!incoming_->body_account_->allows(incoming_->body_.size()))
-    {
-        reject(service_unavailable);
-        return false;
-    }
-    incoming_->body_account_->resize(incoming_->body_.size());
     if (result == parse_result::incomplete)
     {
-        arm_timer(limits().header_timeout);
+        if (is_body_too_slow())
+            refuse_for(client_limit::body_time);
+        else
+            arm_timer(limits().header_timeout);
         return false;
     }
     decoder_.reset();
@@ -223,9 +275,17 @@
     return true;
 }
 
+bool inbound_connection::is_body_too_slow() const
+{
+    duration const for_bytes(
+        static_cast<std::int64_t>(incoming_->body_.size()) / slowest_bytes_per_ms);
+    return loop_.now() - body_start_ > limits().header_timeout * body_timeout_factor + for_bytes;
+}
+
 void inbound_connection::dispatch()
 {
     timer_.cancel();
+    narrow_window();
     phase_ = phase::response;
     auto exchange = std::exchange(incoming_, nullptr);
     exchange->is_finished_ = false;
@@ -243,9 +303,15 @@
     if (status == service_unavailable)
         response += "\r\nRetry-After: 1";
     response += "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-    write(response);
     incoming_.reset();
+    decoder_.reset();
+    std::string().swap(input_);
     is_closing_ = true;
+    pause_ = pause_reason::none;
+    if (auto const server = server_.lock())
+        server->paused.erase(this);
+    write(response);
+    resume(); // what still comes is dropped
     await_written();
 }
 
@@ -272,6 +338,8 @@
     bool const is_being_read = unwritten_bytes() > 0 && unwritten_bytes() < unwritten_at_timer_;
     if (is_being_read)
         arm_timer(limits().idle_timeout);
+    else if (is_in_request && is_waiting_for_memory())
+        arm_timer(limits().header_timeout);
     else if (is_in_request && !is_closing_)
         reject(request_timeout);
     else
@@ -305,7 +373,20 @@
         await_written();
         return;
     }
+    idle_since_ = loop_.now();
     arm_timer(limits().idle_timeout);
+    post_read();
+}
+
+void inbound_connection::post_read()
+{
+    if (pause_ == pause_reason::answer)
+    {
+        pause_ = pause_reason::none;
+        if (auto const server = server_.lock())
+            server->paused.erase(this);
+        resume();
+    }
     if (!input_.empty())
         loop_.post(
             [weak = weak_from_this()]
@@ -315,125 +396,4 @@
             });
 }
 
-inbound_exchange::inbound_exchange(std::weak_ptr<inbound_connection> connection)
-    : connection_(std::move(connection))
-{}
-
-inbound_exchange::~inbound_exchange()
-{
-    abort();
-}
-
-void inbound_exchange::write_head(
-    int status,
-    http_headers const& headers,
-    std::optional<std::size_t> length)
-{
-    auto const connection = connection_.lock();
-    if (!connection || connection->stream_ == nullptr)
-        return;
-    if (connection->is_draining())
-        is_closing_ = true;
-    std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
-    head += reason_phrase(status);
-    head += "\r\n";
-    append_headers(head, headers);
-    if (length)
-        head += "Content-Length: " + std::to_string(*length) + "\r\n";
-    else if (is_chunked_)
-        head += "Transfer-Encoding: chunked\r\n";
-    if (is_closing_)
-        head += "Connection: close\r\n";
-    head += "\r\n";
-    connection->write(head);
-    is_started_ = true;
-}
-
-void inbound_exchange::respond(int status, http_headers const& headers, std::string_view body)
-{
-    if (!is_open() || is_started_)
-        return;
-    write_head(status, headers, body.size());
-    if (auto const connection = connection_.lock(); connection && head_.method != "HEAD")
-        connection->write(body);
-    complete();
-}
-
-void inbound_exchange::start(int status, http_headers const& headers)
-{
-    if (!is_open() || is_started_)
-        return;
-    is_chunked_ = head_.minor_version > 0;
-    is_closing_ = is_closing_ || !is_chunked_;
-    write_head(status, headers, std::nullopt);
-}
-
-void inbound_exchange::send(std::string_view data)
-{
-    auto const connection = connection_.lock();
-    if (!is_open() || !is_started_ || data.empty() || connection->stream_ == nullptr)
-        return;
-    if (!is_chunked_)
-    {
-        connection->write(data);
-        return;
-    }
-    constexpr int hexadecimal = 16;
-    std::string chunk;
-    chunk.reserve(data.size() + hexadecimal);
-    std::array<char, hexadecimal> size{};
-    auto const end =
-        std::to_chars(size.data(), size.data() + size.size(), data.size(), hexadecimal);
-    chunk.append(size.data(), end.ptr);
-    chunk += "\r\n";
-    chunk += data;
-    chunk += "\r\n";
-    connection->write(chunk);
-}
-
-void inbound_exchange::finish()
-{
-    auto const connection = connection_.lock();
-    if (!is_open() || !is_started_)
-        return;
-    if (is_chunked_)
-        connection->write("0\r\n\r\n");
-    complete();
-}
-
-void inbound_exchange::complete()
-{
-    is_finished_ = true;
-    disconnect_callback_ = {};
-    drained_callback_ = {};
-    if (auto const connection = connection_.lock())
-        connection->finish_response(is_closing_);
-}
-
-void inbound_exchange::abort()
-{
-    if (is_finished_)
-        return;
-    is_finished_ = true;
-    disconnect_callback_ = {};
-    drained_callback_ = {};
-    auto const connection = connection_.lock();
-    if (!connection)
-        return;
-    // What was sent before reaches the client. Without chunks, only a reset tells that more was
-    // due.
-    if (!is_started_)
-        connection->close();
-    else if (is_chunked_)
-        connection->end_incomplete();
-    else
-        connection->reset();
-}
-
-std::size_t inbound_exchange::pending_bytes() const
-{
-    auto const connection = connection_.lock();
-    return connection && connection->stream_ != nullptr ? connection->stream_->pending_bytes() : 0;
-}
-
 } // namespace almondcart::http1
--- a/libraries/http1/src/outbound_connection.cpp
+++ b/libraries/http1/src/outbound_connection.cpp
@@ -191,8 +191,9 @@
     decoder.reset();
     if (!is_head_accepted)
         return true;
-    // Bytes after the end of the response do not belong to any request.
-    if (!data.empty())
+    // Bytes after the end of the response do not belong to any request. A request that is answered
+    // before all of it was sent would be in the way of the next one, and keep its body.
+    if (!data.empty() || stream->pending_bytes() > 0)
         is_reusable = false;
     finish(exchange_outcome::complete);
     return false;
@@ -264,6 +265,18 @@
     state_->send(method, request, std::move(callbacks));
 }
 
+void outbound_connection::send(
+    std::string_view method,
+    std::string_view head,
+    std::string_view body,
+    std::shared_ptr<void const> owner,
+    exchange_callbacks callbacks)
+{
+    state_->send(method, head, std::move(callbacks));
+    if (!body.empty())
+        state_->stream->write_shared(body, std::move(owner));
+}
+
 void outbound_connection::pause_reading()
 {
     if (state_->stream != nullptr)
--- a/services/gateway/forward_session.cpp
+++ b/services/gateway/forward_session.cpp
@@ -288,7 +288,7 @@
     return true;
 }
 
-std::string forward_session::encode_request() const
+std::string forward_session::encode_head() const
 {
     auto const resume_after =
         events_.last_id() ? std::to_string(*events_.last_id()) : request_.resume_after;
@@ -301,11 +301,10 @@
     context.resume_after = resume_after;
     std::string text = request_.method + " " + request_.target + " HTTP/1.1\r\n";
     http1::append_headers(text, context_.codec.encode_attempt(request_, context));
-    auto const& body = exchange_->body();
+    auto const body = exchange_->body();
     if (!body.empty() || request_.method == "POST" || request_.method == "PUT")
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     text += "\r\n";
-    text += body;
     return text;
 }
 
@@ -319,7 +318,8 @@
     callbacks.on_body = [self = shared_from_this()](std::string_view data) { self->on_body(data); };
     callbacks.on_end = [self = shared_from_this()](exchange_outcome outcome)
     { self->on_end(outcome); };
-    connection_->send(request_.method, encode_request(), std::move(callbacks));
+    connection_->send(
+        request_.method, encode_head(), exchange_->body(), exchange_, std::move(callbacks));
     bool const may_retry = route_->is_retryable() && attempts_ < route_->attempt_limit;
     auto const response_timeout = may_retry ? time_left() / response_timeout_divisor : time_left();
     arm_response_timer(std::min(response_timeout, connect_timeout), response_timeout);
--- a/services/gateway/forward_session.hpp
+++ b/services/gateway/forward_session.hpp
@@ -44,7 +44,7 @@
     bool acquire_connection();
     bool refuse_if_paused();
     void send();
-    std::string encode_request() const;
+    std::string encode_head() const;
 
     bool on_head(http1::response_head const& head);
     void record_statements();
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -106,6 +106,7 @@
 
 gateway::gateway(gateway_settings settings, std::string settings_file)
     : settings_(std::move(settings))
+    , limits_(client_limits::of(settings_))
     , settings_file_(std::move(settings_file))
     , settings_modified_ns_(modification_time_ns(settings_file_))
     , client_(loop_)
@@ -135,6 +136,7 @@
           [this] { return loop_.now(); },
           {.availability_zone = settings_.availability_zone, .seed = hash64(settings_.name)},
           directory_)
+    , limit_log_(metrics_)
     , peers_(loop_, client_, settings_.name, metrics_, prepaid_)
     , prepaid_(
           loop_,
@@ -159,7 +161,7 @@
           connections_,
           crashes_,
           metrics_,
-          std::make_shared<buffer_budget>(settings_.buffer_limit_bytes()),
+          std::make_shared<buffer_budget>(limits_.buffer_bytes, limits_.overrun_bytes),
           {},
           false,
           false,
@@ -191,6 +193,11 @@
         return server.status();
     server_ = *std::move(server);
     server_->set_buffer_budget(context_.buffers);
+    server_->set_connection_limit(limits_.connections);
+    server_->on_limit([this](http1::client_limit limit, std::string const& address)
+                      { limit_log_.record(limit, address); });
+    connections_.set_stream_limit(limits_.streams);
+    metrics_.set_limits(limits_.connections, limits_.streams, limits_.buffer_bytes);
     auto readiness = http_server::create(loop_, {settings_.readiness_listen});
     if (!readiness.ok())
         return readiness.status();
@@ -215,11 +222,14 @@
 void gateway::start()
 {
     spdlog::info(
-        "[gateway] started vm={} availability_zone={} listen={} up_ms={}",
+        "[gateway] started vm={} availability_zone={} listen={} up_ms={} connection_limit={} "
+        "buffer_limit_bytes={}",
         settings_.name,
         settings_.availability_zone,
         settings_.listen,
-        loop_.now().since_epoch.count());
+        loop_.now().since_epoch.count(),
+        limits_.connections,
+        limits_.buffer_bytes);
     loop_.on_stop_signal([this] { begin_stop(); });
     loop_.on_reload_signal([this] { reload(); });
     follow_configuration();
@@ -364,12 +374,21 @@
     connections_.expire();
     metrics_.set_gauges(
         server_->connection_count(), connections_.opened_count(), store_.call_count());
-    metrics_.set_buffered_bytes(context_.buffers->used_bytes());
+    update_limits();
     metrics_.set_store_path(store_paths_.is_direct_up(), store_paths_.relay_count());
     if (context_.is_stopping)
         try_stop();
 }
 
+void gateway::update_limits()
+{
+    auto const buffered = context_.buffers->used_bytes();
+    metrics_.set_buffered_bytes(buffered);
+    metrics_.set_open_streams(http1::byte_stream::open_count());
+    limit_log_.tick(loop_.now(), server_->connection_count(), buffered);
+    heap_.tick(loop_.now(), buffered);
+}
+
 void gateway::update_link_load()
 {
     auto const& totals = http1::byte_stream::totals();
--- a/services/gateway/gateway.hpp
+++ b/services/gateway/gateway.hpp
@@ -11,8 +11,11 @@
 #include <memory>
 #include <string>
 
+#include "client_limit_log.hpp"
+#include "client_limits.hpp"
 #include "crash_reports.hpp"
 #include "gateway_context.hpp"
+#include "heap_release.hpp"
 #include "prepaid_accounts.hpp"
 #include "token_transfer_rpc.hpp"
 
@@ -47,12 +50,14 @@
     void update_readiness();
     void run_maintenance();
     void update_link_load();
+    void update_limits();
     void check_settings_file();
     void reload();
     void begin_stop();
     void try_stop();
 
     gateway_settings settings_;
+    client_limits limits_;
     std::string settings_file_;
     std::int64_t settings_modified_ns_ = 0;
     event_loop loop_;
@@ -64,6 +69,8 @@
     forwarding::upstream_directory directory_;
     forwarding::upstream_picker picker_;
     gateway_metrics metrics_;
+    client_limit_log limit_log_;
+    heap_release heap_;
     token_transfer_rpc peers_;
     prepaid_accounts prepaid_;
     crash_reports crashes_;
--- a/services/gateway/gateway_metrics.cpp
+++ b/services/gateway/gateway_metrics.cpp
@@ -108,6 +108,37 @@
         .Set(static_cast<double>(n));
 }
 
+void gateway_metrics::set_limits(
+    std::size_t connections,
+    std::size_t streams,
+    std::size_t buffer_bytes)
+{
+    metrics_.gauge("almondcart_client_connection_limit", "Largest number of client connections")
+        .Set(static_cast<double>(connections));
+    metrics_
+        .gauge(
+            "almondcart_stream_limit", "Largest number of connections of clients and to upstreams")
+        .Set(static_cast<double>(streams));
+    metrics_.gauge("almondcart_buffer_limit_bytes", "Limit for buffered bytes")
+        .Set(static_cast<double>(buffer_bytes));
+}
+
+void gateway_metrics::set_open_streams(std::size_t n)
+{
+    metrics_.gauge("almondcart_open_streams", "Connections of clients and to upstreams")
+        .Set(static_cast<double>(n));
+}
+
+void gateway_metrics::count_client_limit(std::string_view limit)
+{
+    metrics_
+        .counter(
+            "almondcart_client_limits_total",
+            "Clients that were refused or closed because of a limit",
+            {{"limit", std::string(limit)}})
+        .Increment();
+}
+
 void gateway_metrics::count_statement(std::string_view statement)
 {
     metrics_
--- a/services/gateway/gateway_metrics.hpp
+++ b/services/gateway/gateway_metrics.hpp
@@ -25,6 +25,11 @@
     void set_store_path(bool is_direct, std::size_t relays);
 
     void set_buffered_bytes(std::size_t n);
+    void set_limits(std::size_t connections, std::size_t streams, std::size_t buffer_bytes);
+    void set_open_streams(std::size_t n);
+
+    /// Counts a client that a limit turned away.
+    void count_client_limit(std::string_view limit);
 
     /// Counts what an upstream said of itself in a response.
     void count_statement(std::string_view statement);
--- a/services/gateway/gateway_settings.cpp
+++ b/services/gateway/gateway_settings.cpp
@@ -17,6 +17,8 @@
 constexpr double max_link_mbps = 1e6;
 constexpr double max_memory_mb = 1e7;
 
+constexpr std::int64_t max_descriptors_limit = 1'000'000;
+
 constexpr double bytes_per_megabyte = 1e6;
 
 /// Share of the memory for buffers, and its value if the memory is not known.
@@ -59,6 +61,8 @@
         static_cast<std::int64_t>(settings.response_limit_bytes)));
     settings.link_mbps = reader.number_or("link_mbps", 0, max_link_mbps, 0);
     settings.memory_mb = reader.number_or("memory_mb", 0, max_memory_mb, 0);
+    settings.max_descriptors =
+        static_cast<std::size_t>(reader.integer_or("max_descriptors", 0, max_descriptors_limit, 0));
     constexpr double percent = 100;
     constexpr std::int64_t percent_limit = 100;
     settings.retry_share = static_cast<double>(reader.integer_or(
--- a/services/gateway/gateway_settings.hpp
+++ b/services/gateway/gateway_settings.hpp
@@ -21,11 +21,12 @@
     std::string store_address;    ///< "ip:port" of the platform's store
     int relay_port = 0;           ///< of the relays on the VMs of engines; 0: there are none
     std::string log_level = "info";
-    duration shutdown_grace{8000};  ///< before the platform kills a stopping process
-    std::size_t prepaid_topics = 1; ///< for prepaid draws; the same on all gateways
-    double link_mbps = 0;           ///< capacity of the VM's link in each direction; 0: unknown
-    double memory_mb = 0;           ///< that the process may use; 0: unknown
-    double retry_share = 0.1;       ///< retries per first attempt
+    duration shutdown_grace{8000};   ///< before the platform kills a stopping process
+    std::size_t prepaid_topics = 1;  ///< for prepaid draws; the same on all gateways
+    double link_mbps = 0;            ///< capacity of the VM's link in each direction; 0: unknown
+    double memory_mb = 0;            ///< that the process may use; 0: unknown
+    std::size_t max_descriptors = 0; ///< that the process may open; 0: unknown
+    double retry_share = 0.1;        ///< retries per first attempt
 
     /// Largest response of an upstream that is not streamed, and largest event of a stream.
     std::size_t response_limit_bytes = std::size_t{1024} * 1024;
--- a/services/gateway/main.cpp
+++ b/services/gateway/main.cpp
@@ -7,6 +7,7 @@
 #include <iostream>
 
 #include "gateway.hpp"
+#include "heap_release.hpp"
 
 namespace {
 
@@ -44,6 +45,7 @@
 int main(int argc, char** argv)
 {
     almondcart::hold_control_signals();
+    almondcart::set_up_heap();
     cxxopts::Options options(
         "almondcart-gateway",
         "Forwards client requests to upstreams within prepaid token budgets; see "
--- a/services/gateway/upstream_connections.cpp
+++ b/services/gateway/upstream_connections.cpp
@@ -33,7 +33,7 @@
             return it.connection;
         }
     }
-    if (pool.active >= limit)
+    if (pool.active >= limit || !make_room())
         return nullptr;
     auto const address = socket_address::parse(target.entry.address);
     if (!address.ok())
@@ -43,6 +43,15 @@
     return std::make_shared<http1::outbound_connection>(loop_, *address);
 }
 
+bool upstream_connections::make_room()
+{
+    for (auto it = pools_.begin();
+         it != pools_.end() && http1::byte_stream::open_count() >= stream_limit_;
+         ++it)
+        it->second.idle.clear();
+    return http1::byte_stream::open_count() < stream_limit_;
+}
+
 void upstream_connections::release(
     forwarding::upstream const& target,
     connection_pointer connection)
--- a/services/gateway/upstream_connections.hpp
+++ b/services/gateway/upstream_connections.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <limits>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -19,6 +20,10 @@
 
     explicit upstream_connections(event_loop& loop);
 
+    /// Limits the number of connections of clients and to upstreams in sum. At the limit idle ones
+    /// to upstreams are closed, and no other is opened.
+    void set_stream_limit(std::size_t n) { stream_limit_ = n; }
+
     /// Maximum idle time of a connection before reuse. A request sent while the server closes the
     /// idle connection is lost, so requests that must not be retried use a shorter limit.
     static constexpr duration idle_limit{3000};
@@ -60,7 +65,11 @@
     void drop_idle(std::string const& upstream_id, http1::outbound_connection const* connection);
     static std::string key_of(forwarding::upstream const& target);
 
+    /// Closes idle connections at the stream limit. Returns whether another one may be opened.
+    bool make_room();
+
     event_loop& loop_;
+    std::size_t stream_limit_ = std::numeric_limits<std::size_t>::max();
     std::unordered_map<std::string, pool> pools_;
     std::size_t opened_count_ = 0;
 };
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -38,7 +38,9 @@
 /// A gateway process with stand-ins for the store and two upstreams.
 struct gateway_fixture
 {
-    gateway_fixture()
+    /// `extra` holds further members of the settings.
+    explicit gateway_fixture(Json::Value extra = Json::Value(Json::objectValue))
+        : extra_settings(std::move(extra))
     {
         first.set_mode(standins::upstream_mode::single_body);
         write_settings();
@@ -53,7 +55,7 @@
 
     void write_settings() const
     {
-        Json::Value settings(Json::objectValue);
+        auto settings = extra_settings;
         settings["name"] = vm;
         settings["availability_zone"] = "zone-1";
         settings["listen"] = listen;
@@ -172,6 +174,7 @@
             ask("/safe/", "warm-" + std::to_string(n));
     }
 
+    Json::Value extra_settings;
     event_loop loop;
     standins::store_standin store{loop};
     standins::upstream_standin first{loop, "i-1"};
