Gateway: Send nothing to availability zones that the operator drains

The operator drains a zone with the key evacuate/ZONE in the topic of the configuration. Gateways read only the key `config` of that topic.

`operator_topic` follows the topic and `drained_zones` keeps the zones, also over outages of the store. The picker leaves out upstreams in drained zones for first attempts, retries and continued streams; their idle connections are closed. A request whose connection comes up during a drain is withheld before its first byte and goes elsewhere. If only drained upstreams are left, it is refused at once with 503 and Retry-After.

--- a/libraries/forwarding/include/almondcart/forwarding/upstream_picker.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/upstream_picker.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <almondcart/core/clock.hpp>
+#include <almondcart/forwarding/drained_zones.hpp>
 #include <almondcart/forwarding/prompt_info.hpp>
 #include <almondcart/forwarding/upstream_directory.hpp>
 #include <almondcart/forwarding/upstream_health.hpp>
@@ -49,16 +50,21 @@
 class upstream_picker
 {
 public:
+    /// All references and pointers must outlive this object.
     upstream_picker(
         clock_function clock,
         upstream_picker_settings settings,
-        upstream_directory const& directory);
+        upstream_directory const& directory,
+        drained_zones const* drained = nullptr);
 
     /// Returns the best upstream, or null if the service has none that accepts work now.
     upstream_pointer pick(pick_request const& request);
 
-    /// Returns when the first pause ends if all upstreams of the service that accept work are
-    /// paused, or nothing if one is not.
+    /// Whether the service has upstreams that accept work and all of them are in drained zones.
+    bool is_drained(std::string_view service) const;
+
+    /// Returns when the first pause ends if all upstreams of the service that accept work, outside
+    /// of drained zones, are paused, or nothing if one is not.
     std::optional<instant> common_pause_end(std::string_view service) const;
 
     /// Registers a request to `target` until the returned guard is destroyed.
@@ -80,6 +86,11 @@
         std::unordered_map<std::uint64_t, instant> cached_parts; ///< last use by this gateway
     };
 
+    /// Whether a new request may be sent to the upstream now. Blocks do not count, because they are
+    /// guesses of this gateway.
+    bool is_usable(upstream const& candidate, instant now) const;
+    bool is_drained(upstream const& candidate) const;
+
     double
     cost(upstream const& candidate, upstream_state const& state, pick_request const& request);
     std::int64_t uncached_tokens(
@@ -94,6 +105,7 @@
     clock_function clock_;
     upstream_picker_settings settings_;
     upstream_directory const& directory_;
+    drained_zones const* drained_; ///< null if there are none
     std::unordered_map<std::string, upstream_state> states_;
     std::uint64_t random_;
 };
--- a/libraries/forwarding/src/upstream_picker.cpp
+++ b/libraries/forwarding/src/upstream_picker.cpp
@@ -51,10 +51,12 @@
 upstream_picker::upstream_picker(
     clock_function clock,
     upstream_picker_settings settings,
-    upstream_directory const& directory)
+    upstream_directory const& directory,
+    drained_zones const* drained)
     : clock_(std::move(clock))
     , settings_(std::move(settings))
     , directory_(directory)
+    , drained_(drained)
     , random_(settings_.seed)
 {}
 
@@ -65,8 +67,7 @@
     upstream_pointer next_unblocked;
     for (auto const& it : directory_.of_service(request.service))
     {
-        // A pause that an upstream asked for holds, unlike blocks, which are guesses.
-        if (!it->accepts_work() || it->is_paused(now) || is_excluded(request, it->entry.id))
+        if (!is_usable(*it, now) || is_excluded(request, it->entry.id))
             continue;
         auto const& state = state_of(it->entry.id);
         if (state.health.is_available(now))
@@ -102,13 +103,35 @@
     return best;
 }
 
+bool upstream_picker::is_usable(upstream const& candidate, instant now) const
+{
+    return candidate.accepts_work() && !candidate.is_paused(now) && !is_drained(candidate);
+}
+
+bool upstream_picker::is_drained(upstream const& candidate) const
+{
+    return drained_ != nullptr && drained_->contains(candidate.entry.availability_zone);
+}
+
+bool upstream_picker::is_drained(std::string_view service) const
+{
+    bool has_drained = false;
+    for (auto const& it : directory_.of_service(service))
+    {
+        if (it->accepts_work() && !is_drained(*it))
+            return false;
+        has_drained = has_drained || it->accepts_work();
+    }
+    return has_drained;
+}
+
 std::optional<instant> upstream_picker::common_pause_end(std::string_view service) const
 {
     auto const now = clock_();
     std::optional<instant> earliest;
     for (auto const& it : directory_.of_service(service))
     {
-        if (!it->accepts_work())
+        if (!it->accepts_work() || is_drained(*it))
             continue;
         if (!it->is_paused(now))
             return std::nullopt;
--- a/libraries/http1/include/almondcart/http1/outbound_connection.hpp
+++ b/libraries/http1/include/almondcart/http1/outbound_connection.hpp
@@ -15,6 +15,7 @@
 enum class exchange_outcome
 {
     complete,
+    withheld,      ///< `may_send` refused; no byte of the request was sent
     not_connected, ///< the connection failed before any byte of the request was sent
     not_answered,  ///< the connection was lost before the response head was complete
     broken_off,    ///< the connection was lost before the response was complete
@@ -31,6 +32,10 @@
 public:
     struct exchange_callbacks
     {
+        /// Asked before the first byte is sent if the connection is established only after the
+        /// call of `send`. If it returns false, the exchange ends as `withheld`.
+        std::function<bool()> may_send;
+
         /// Called with the response head. Returns false if the response belongs to another request;
         /// it is then discarded and the next response is awaited.
         std::function<bool(response_head const&)> on_head;
--- a/libraries/http1/src/outbound_connection.cpp
+++ b/libraries/http1/src/outbound_connection.cpp
@@ -33,8 +33,8 @@
 
 std::string_view name_of(exchange_outcome outcome)
 {
-    static constexpr std::array<std::string_view, 5> names{
-        "complete", "not_connected", "not_answered", "broken_off", "malformed"};
+    static constexpr std::array<std::string_view, 6> names{
+        "complete", "withheld", "not_connected", "not_answered", "broken_off", "malformed"};
     return names.at(static_cast<std::size_t>(outcome));
 }
 
@@ -42,6 +42,7 @@
 {
     void open(event_loop& loop, socket_address const& address);
     void close();
+    void begin();
     void send(std::string_view method, std::string_view request, exchange_callbacks callbacks);
     void receive(std::string_view data);
     bool read_head(std::string_view& data);
@@ -58,6 +59,7 @@
     std::string request_method;
     std::shared_ptr<exchange_callbacks const> hooks; ///< of the current exchange
     std::function<void()> idle_end_callback;
+    std::string unsent; ///< request that waits for the connection
     std::string incomplete_head;
     int exchange_count = 0;
     int received_heads = 0; ///< of the current exchange, with interim and rejected ones
@@ -74,12 +76,29 @@
 void outbound_connection::state::open(event_loop& loop, socket_address const& address)
 {
     byte_stream::callbacks callbacks;
-    callbacks.on_connected = [this] { is_connected = true; };
+    callbacks.on_connected = [this] { begin(); };
     callbacks.on_data = [this](std::string_view data) { receive(data); };
     callbacks.on_end = [this](close_reason reason) { on_stream_end(reason); };
     stream = byte_stream::connect(loop, address, std::move(callbacks));
 }
 
+void outbound_connection::state::begin()
+{
+    is_connected = true;
+    if (!is_active)
+        return;
+    auto const self = shared_from_this();
+    auto const number = exchange_count;
+    auto const callbacks = hooks;
+    bool const may_send = !callbacks->may_send || callbacks->may_send();
+    if (!is_current(number))
+        return;
+    if (may_send)
+        stream->write(std::exchange(unsent, {}));
+    else
+        finish(exchange_outcome::withheld);
+}
+
 void outbound_connection::state::close()
 {
     is_open = false;
@@ -100,7 +119,10 @@
     is_active = true;
     is_head_accepted = false;
     decoder.reset();
-    stream->write(request);
+    if (is_connected)
+        stream->write(request);
+    else
+        unsent = request;
 }
 
 void outbound_connection::state::receive(std::string_view data)
--- a/services/gateway/forward_session.cpp
+++ b/services/gateway/forward_session.cpp
@@ -253,7 +253,7 @@
     {
         if (execution_ == execution_state::may_have_run)
             fail(result_code::upstream_lost, "no other upstream accepts the request");
-        else if (!refuse_if_paused())
+        else if (!refuse_if_drained() && !refuse_if_paused())
             refuse(result_code::no_upstream, "no upstream accepts requests", retry_after());
         return false;
     }
@@ -274,6 +274,21 @@
     return true;
 }
 
+bool forward_session::refuse_if_drained()
+{
+    if (!context_.picker.is_drained(service_->name))
+        return false;
+    context_.metrics.count_drain_refusal();
+    refuse(result_code::no_upstream, "all upstreams are in drained zones", retry_after());
+    return true;
+}
+
+bool forward_session::may_send() const
+{
+    // A drain may have begun since the upstream was chosen.
+    return !context_.drained.contains(in_flight_->target().entry.availability_zone);
+}
+
 bool forward_session::refuse_if_paused()
 {
     auto const end = context_.picker.common_pause_end(service_->name);
@@ -314,6 +329,7 @@
     ++attempts_;
     sent_at_ = context_.loop.now();
     http1::outbound_connection::exchange_callbacks callbacks;
+    callbacks.may_send = [self = shared_from_this()] { return self->may_send(); };
     callbacks.on_head = [self = shared_from_this()](http1::response_head const& head)
     { return self->on_head(head); };
     callbacks.on_body = [self = shared_from_this()](std::string_view data) { self->on_body(data); };
--- a/services/gateway/forward_session.hpp
+++ b/services/gateway/forward_session.hpp
@@ -42,7 +42,9 @@
     bool refuse_if_quarantined();
     void attempt();
     bool acquire_connection();
+    bool refuse_if_drained();
     bool refuse_if_paused();
+    bool may_send() const;
     void send();
     std::string encode_request() const;
 
@@ -55,6 +57,7 @@
     void on_complete_response();
     void on_stream_end();
     void on_not_executed();
+    void on_withheld();
     void report_broken_connection();
     void report_answer();
     void on_attempt_lost(http1::exchange_outcome outcome);
--- a/services/gateway/forward_session_response.cpp
+++ b/services/gateway/forward_session_response.cpp
@@ -152,6 +152,11 @@
     if (is_done_)
         return;
     context_.metrics.count_attempt(http1::name_of(outcome));
+    if (outcome == exchange_outcome::withheld)
+    {
+        on_withheld();
+        return;
+    }
     if (outcome == exchange_outcome::not_answered || outcome == exchange_outcome::broken_off)
         report_broken_connection();
     drop_connection(outcome == exchange_outcome::complete);
@@ -163,6 +168,14 @@
         on_complete_response();
 }
 
+void forward_session::on_withheld()
+{
+    // Nothing was sent, so this does not count as an attempt.
+    --attempts_;
+    context_.connections.discard(in_flight_->target(), std::exchange(connection_, nullptr));
+    attempt();
+}
+
 void forward_session::on_stream_end()
 {
     // A complete stream has a signed head and ends with a complete event.
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -10,6 +10,7 @@
 #include <spdlog/spdlog.h>
 #include <sys/stat.h>
 
+#include <algorithm>
 #include <csignal>
 #include <set>
 #include <utility>
@@ -112,7 +113,7 @@
     , store_paths_(store_path_settings(settings_), create_store_path_hooks(loop_))
     , store_(loop_, client_, store_paths_, settings_.store_address)
     , codec_(platform::create_exchange_codec())
-    , connections_(loop_)
+    , connections_(loop_, drained_)
     , directory_(
           [this](forwarding::upstream const& it)
           {
@@ -134,7 +135,8 @@
     , picker_(
           [this] { return loop_.now(); },
           {.availability_zone = settings_.availability_zone, .seed = hash64(settings_.name)},
-          directory_)
+          directory_,
+          &drained_)
     , peers_(loop_, client_, settings_.name, metrics_, prepaid_)
     , prepaid_(
           loop_,
@@ -154,6 +156,7 @@
           codec_,
           nullptr,
           directory_,
+          drained_,
           picker_,
           prepaid_,
           connections_,
@@ -168,7 +171,16 @@
               settings_.name,
               static_cast<std::uint64_t>(system_clock_source::wall_time_ms())))}
     , link_([this] { return loop_.now(); }, link_settings(settings_))
-{}
+    , operator_topic_(
+          loop_,
+          store_,
+          hash64(settings_.name),
+          drained_,
+          [this](std::string const& text, std::int64_t offset)
+          { apply_configuration(text, offset); })
+{
+    drained_.on_change([this](auto const& it) { on_drain_change(it); });
+}
 
 gateway::~gateway() = default;
 
@@ -222,7 +234,7 @@
         loop_.now().since_epoch.count());
     loop_.on_stop_signal([this] { begin_stop(); });
     loop_.on_reload_signal([this] { reload(); });
-    follow_configuration();
+    operator_topic_.start();
     follow_upstreams();
     prepaid_.start();
     crashes_.start();
@@ -230,27 +242,36 @@
     loop_.every(settings_check_interval, [this] { check_settings_file(); });
 }
 
-void gateway::follow_configuration()
+void gateway::on_drain_change(forwarding::drained_zones::change const& change)
 {
-    auto hooks = topic_hooks("config");
-    auto const apply = [this](platform::keyed_record const& record)
-    {
-        if (record.key == platform::configuration_key && record.value)
-            apply_configuration(*record.value, record.offset);
-    };
-    hooks.on_snapshot = [apply](auto const& records, std::int64_t /*end*/)
+    std::size_t count = 0;
+    for (auto const& [id, it] : directory_.all())
     {
-        for (auto const& [key, record] : records)
-            apply(record);
-    };
-    hooks.on_record = apply;
-    configuration_topic_ = std::make_unique<platform::topic_follower>(
-        loop_,
-        store_,
-        platform::topic_follower_settings{
-            .topic = platform::configuration_topic, .seed = hash64(settings_.name)},
-        std::move(hooks));
-    configuration_topic_->start();
+        if (it->entry.availability_zone != change.zone)
+            continue;
+        ++count;
+        if (change.is_drained)
+            connections_.close_idle(id);
+    }
+    spdlog::info(
+        "[drain] zone={} offset={} upstreams={} {}",
+        change.zone,
+        change.offset,
+        count,
+        change.is_drained ? "drained" : "ended");
+    set_drain_gauges();
+}
+
+void gateway::set_drain_gauges()
+{
+    auto const upstreams =
+        drained_.size() == 0
+            ? 0
+            : std::ranges::count_if(
+                  directory_.all(),
+                  [this](auto const& it)
+                  { return drained_.contains(it.second->entry.availability_zone); });
+    metrics_.set_drained(drained_.size(), static_cast<std::size_t>(upstreams));
 }
 
 void gateway::apply_configuration(std::string const& text, std::int64_t offset)
@@ -361,6 +382,7 @@
     prepaid_.tick();
     crashes_.tick();
     update_link_load();
+    set_drain_gauges();
     connections_.expire();
     metrics_.set_gauges(
         server_->connection_count(), connections_.opened_count(), store_.call_count());
--- a/services/gateway/gateway.hpp
+++ b/services/gateway/gateway.hpp
@@ -13,6 +13,7 @@
 
 #include "crash_reports.hpp"
 #include "gateway_context.hpp"
+#include "operator_topic.hpp"
 #include "prepaid_accounts.hpp"
 #include "token_transfer_rpc.hpp"
 
@@ -38,8 +39,9 @@
 
     absl::Status listen();
     void start();
-    void follow_configuration();
     void follow_upstreams();
+    void on_drain_change(forwarding::drained_zones::change const& change);
+    void set_drain_gauges();
     void apply_configuration(std::string const& text, std::int64_t offset);
     void update_relays();
     void handle(std::shared_ptr<http1::inbound_exchange> exchange);
@@ -60,6 +62,7 @@
     forwarding::log_path_selector store_paths_;
     platform::store_client store_;
     forwarding::exchange_codec codec_;
+    forwarding::drained_zones drained_;
     upstream_connections connections_;
     forwarding::upstream_directory directory_;
     forwarding::upstream_picker picker_;
@@ -70,7 +73,7 @@
     gateway_context context_;
     forwarding::link_load link_;
     bool are_relays_outdated_ = false;
-    std::unique_ptr<platform::topic_follower> configuration_topic_;
+    operator_topic operator_topic_;
     std::unique_ptr<platform::topic_follower> upstream_topic_;
     std::unique_ptr<http_server> readiness_server_;
     std::unique_ptr<http_server> status_server_;
--- a/services/gateway/gateway_context.hpp
+++ b/services/gateway/gateway_context.hpp
@@ -40,6 +40,7 @@
     forwarding::exchange_codec const& codec;
     forwarding::configuration_pointer configuration; ///< null until one is loaded
     forwarding::upstream_directory& directory;
+    forwarding::drained_zones& drained;
     forwarding::upstream_picker& picker;
     prepaid_accounts& prepaid;
     upstream_connections& connections;
--- a/services/gateway/gateway_metrics.cpp
+++ b/services/gateway/gateway_metrics.cpp
@@ -128,6 +128,26 @@
         .Increment();
 }
 
+void gateway_metrics::set_drained(std::size_t zones, std::size_t upstreams)
+{
+    metrics_.gauge("almondcart_drained_zones", "Availability zones that the operator has drained")
+        .Set(static_cast<double>(zones));
+    metrics_
+        .gauge(
+            "almondcart_drained_upstreams",
+            "Registered upstreams that get no requests because their zone is drained")
+        .Set(static_cast<double>(upstreams));
+}
+
+void gateway_metrics::count_drain_refusal()
+{
+    metrics_
+        .counter(
+            "almondcart_drain_refusals_total",
+            "Requests refused because all upstreams are in drained zones")
+        .Increment();
+}
+
 void gateway_metrics::set_quarantined(std::size_t features)
 {
     metrics_
--- a/services/gateway/gateway_metrics.hpp
+++ b/services/gateway/gateway_metrics.hpp
@@ -32,6 +32,12 @@
     /// Counts a report to the other gateways: of a crash, or of an answer to a suspected request.
     void count_crash_report(bool is_crash);
     void set_quarantined(std::size_t features);
+
+    /// Numbers of drained availability zones and of the registered upstreams in them.
+    void set_drained(std::size_t zones, std::size_t upstreams);
+
+    /// Counts a request that was refused because all upstreams are in drained zones.
+    void count_drain_refusal();
     metrics& registry() { return metrics_; }
 
 private:
--- a/services/gateway/upstream_connections.cpp
+++ b/services/gateway/upstream_connections.cpp
@@ -5,8 +5,11 @@
 
 namespace almondcart {
 
-upstream_connections::upstream_connections(event_loop& loop)
+upstream_connections::upstream_connections(
+    event_loop& loop,
+    forwarding::drained_zones const& drained)
     : loop_(loop)
+    , drained_(drained)
 {}
 
 std::string upstream_connections::key_of(forwarding::upstream const& target)
@@ -49,7 +52,8 @@
 {
     auto& pool = pools_[key_of(target)];
     pool.active -= pool.active > 0 ? 1 : 0;
-    if (!connection->is_reusable() || !target.accepts_work())
+    if (!connection->is_reusable() || !target.accepts_work() ||
+        drained_.contains(target.entry.availability_zone))
         return;
     auto limit = idle_limit;
     // Half of the server's keep-alive time leaves a margin for a request in transit.
--- a/services/gateway/upstream_connections.hpp
+++ b/services/gateway/upstream_connections.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <almondcart/forwarding/drained_zones.hpp>
 #include <almondcart/forwarding/upstream_directory.hpp>
 #include <almondcart/http1/outbound_connection.hpp>
 
@@ -17,7 +18,8 @@
 public:
     using connection_pointer = std::shared_ptr<http1::outbound_connection>;
 
-    explicit upstream_connections(event_loop& loop);
+    /// Both references must outlive this object.
+    upstream_connections(event_loop& loop, forwarding::drained_zones const& drained);
 
     /// Maximum idle time of a connection before reuse. A request sent while the server closes the
     /// idle connection is lost, so requests that must not be retried use a shorter limit.
@@ -61,6 +63,7 @@
     static std::string key_of(forwarding::upstream const& target);
 
     event_loop& loop_;
+    forwarding::drained_zones const& drained_;
     std::unordered_map<std::string, pool> pools_;
     std::size_t opened_count_ = 0;
 };
--- a/tests/http1.cpp
+++ b/tests/http1.cpp
@@ -295,6 +295,34 @@
     cr_assert(*outcome == exchange_outcome::not_connected);
 }
 
+// Guards against sending a request that was withdrawn while its connection was being established,
+// and against holding back one whose connection was already there.
+Test(outbound_connection, asks_before_the_first_byte_on_a_new_connection)
+{
+    server_fixture it;
+    std::optional<exchange_outcome> outcome;
+    bool is_allowed = false;
+    auto connection = std::make_unique<outbound_connection>(it.loop, it.address());
+    auto const exchange = [&]
+    {
+        outcome.reset();
+        outbound_connection::exchange_callbacks callbacks;
+        callbacks.may_send = [&] { return is_allowed; };
+        callbacks.on_end = [&](exchange_outcome end) { outcome = end; };
+        connection->send("GET", "GET / HTTP/1.1\r\n\r\n", std::move(callbacks));
+        it.loop.run_until([&] { return outcome.has_value() || !it.exchanges.empty(); });
+    };
+    exchange();
+    cr_assert(*outcome == exchange_outcome::withheld);
+    cr_assert_not(connection->is_reusable());
+    wait(it.loop, duration(20));
+    cr_assert(it.exchanges.empty());
+    connection = std::make_unique<outbound_connection>(it.loop, it.address());
+    is_allowed = true;
+    exchange();
+    cr_assert_eq(it.exchanges.size(), 1);
+}
+
 namespace {
 
 /// Callback in which a connection is destroyed.
--- a/utilities/standins/platform/upstream_standin.cpp
+++ b/utilities/standins/platform/upstream_standin.cpp
@@ -53,7 +53,7 @@
     Json::Value entry(Json::objectValue);
     entry["backend"] = service;
     entry["address"] = advertised_address.empty() ? address() : advertised_address;
-    entry["zone"] = "zone-1";
+    entry["zone"] = zone_;
     entry["slots"] = 8;
     entry["state"] = state;
     entry["born"] = start_count_;
--- a/utilities/standins/platform/upstream_standin.hpp
+++ b/utilities/standins/platform/upstream_standin.hpp
@@ -47,6 +47,9 @@
 
     void set_mode(upstream_mode mode) { mode_ = mode; }
 
+    /// Sets the availability zone of the registry entries from now on.
+    void set_zone(std::string zone) { zone_ = std::move(zone); }
+
     /// While set, each response says that the upstream is leaving.
     void set_leaving(bool is_leaving) { is_leaving_ = is_leaving; }
 
@@ -110,6 +113,7 @@
 
     event_loop& loop_;
     std::string id_;
+    std::string zone_ = "zone-1";
     upstream_mode mode_ = upstream_mode::single_body;
     bool are_streams_paused_ = false;
     bool is_leaving_ = false;
