--- a/services/gateway/upstream_connections.hpp
+++ b/services/gateway/upstream_connections.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <almondcart/forwarding/drained_zones.hpp>
 #include <almondcart/forwarding/upstream_directory.hpp>
 #include <almondcart/http1/outbound_connection.hpp>
 
@@ -18,7 +19,8 @@
 public:
     using connection_pointer = std::shared_ptr<http1::outbound_connection>;
 
-    explicit upstream_connections(event_loop& loop);
+    /// Both references must outlive this object.
+    upstream_connections(event_loop& loop, forwarding::drained_zones const& drained);
 
     /// Limits the number of connections of clients and to upstreams in sum. At the limit idle ones
     /// to upstreams are closed, and no other is opened.
@@ -70,6 +72,7 @@
 
     event_loop& loop_;
     std::size_t stream_limit_ = std::numeric_limits<std::size_t>::max();
+    forwarding::drained_zones const& drained_;
     std::unordered_map<std::string, pool> pools_;
     std::size_t opened_count_ = 0;
 };
