Forwarding: Ask two or three peers for tokens at once

A gateway that lacked tokens asked one peer after another, and started a new round of four until the request expired. A silent peer took 250 ms of the 300 ms for which a request waits, and one request could ask ten in a row.

A round now asks two peers at once, those that may give most by their records and reported limits, and a third if these promise too little; at most four in a round and two rounds for one request. Estimates within a factor of two are ordered by a hash, so that gateways do not all ask the same peer. What arrives beyond the need, or after the round, is received.

Not measured on a deployment.

--- a/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
@@ -34,6 +34,7 @@
     duration clock_error{3000};    ///< largest backward step of the wall clock to tolerate
     duration peer_delay{60};       ///< wait for the log before peers are asked for tokens
     duration peer_horizon{2'000};  ///< demand requested from peers in addition to waiting requests
+    int peer_rounds = 2;           ///< in which peers are asked on behalf of one request
     log_writer_settings writer;
 };
 
@@ -100,8 +101,8 @@
     /// Receives tokens from another gateway. They offset tokens that this process has spent.
     void transfer_in(std::string const& account, std::int64_t tokens);
 
-    /// Serves requests that waited for responses of other gateways.
-    void finish_peer_round() { serve_waiting(); }
+    /// Ends a round of requests to other gateways and serves requests that waited for it.
+    void finish_peer_round(std::string const& account);
 
     /// Applies a record. Records of the log, or of a snapshot, must be passed in log order.
     void apply(std::int64_t offset, draw_record const& record);
@@ -158,11 +159,11 @@
     void take_over();
     void take_over(draw_owner const& owner, draw_record const& record);
     void serve_waiting();
-    std::optional<reservation_result> try_resolve(
-        std::string const& account,
-        token_account const& state,
-        waiting_request const& request);
-    bool ask_peers(std::string const& account, token_account const& state) const;
+    std::optional<reservation_result>
+    try_resolve(std::string const& account, token_account& state, waiting_request& request);
+
+    /// Whether peers are being asked for tokens on behalf of `request`, from now on if need be.
+    bool ask_peers(std::string const& account, token_account& state, waiting_request& request);
     void write();
     void finish_write(
         write_outcome outcome,
--- a/libraries/forwarding/include/almondcart/forwarding/token_account.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/token_account.hpp
@@ -25,6 +25,7 @@
     instant since{};
     instant expires{};
     std::function<void(reservation_result)> done;
+    int peer_rounds = 0; ///< in which peers were asked for tokens while this was the first to wait
 };
 
 /// Tokens of one client account that this process holds, and the spending limit that it last
@@ -77,6 +78,7 @@
     token_demand demand;
     std::int64_t largest_request = 0;
     std::deque<waiting_request> waiting;
+    bool is_asking_peers = false;
 
 private:
     std::int64_t held_ = 0;      ///< by this process, including what predecessors have spent
--- a/libraries/forwarding/include/almondcart/forwarding/token_transfer_client.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/token_transfer_client.hpp
@@ -30,15 +30,18 @@
 
 struct token_transfer_client_settings
 {
-    int peers_per_round = 4;             ///< asked one at a time until enough tokens have arrived
+    int peers_per_round = 4;             ///< asked until enough tokens have arrived
+    int min_open = 2;                    ///< asked at once, since one may not respond
+    int max_open = 3;                    ///< asked at once if fewer are not expected to suffice
     duration shortage_backoff{200};      ///< after a peer transferred less than needed
     duration unreachable_backoff{2'000}; ///< after a peer did not respond
 };
 
 /// Requests tokens from other gateways when none can be drawn from the log, because it is
 /// unavailable or the total is fully drawn. Gateways are discovered through their draw records,
-/// which also indicate how much each may have left. If the response to a transfer is lost, nobody
-/// can spend its tokens.
+/// which also indicate how much each may have left. Those that may give most are asked, a few at
+/// once. Tokens that arrive after enough others have are received too. If the response to a
+/// transfer is lost, nobody can spend its tokens.
 class token_transfer_client
 {
 public:
@@ -57,7 +60,8 @@
         /// Called with tokens that arrived.
         std::function<void(std::string const& account, std::int64_t tokens)> receive;
 
-        /// Called when a round has ended and all its tokens were received.
+        /// Called when a round has ended, because enough tokens were received or no more are
+        /// expected.
         std::function<void(std::string const& account)> on_end;
     };
 
@@ -73,7 +77,7 @@
 private:
     struct holding
     {
-        double tokens = 0; ///< free tokens at `seen`
+        double tokens = 0; ///< that could be given at `seen`
         double demand_per_s = 0;
         instant seen{};
         instant backoff_until{}; ///< after a transfer of less than needed
@@ -84,6 +88,7 @@
         std::map<std::string, holding> holdings; ///< by VM
         std::optional<token_request> round;      ///< in progress, with what is still missing
         std::set<std::string> asked;             ///< VMs asked in this round
+        std::map<std::string, double> open;      ///< tokens expected from VMs yet to respond
     };
 
     struct peer
@@ -92,11 +97,18 @@
         instant blocked_until{};
     };
 
-    void ask_next(std::string const& account);
+    /// Asks peers until enough tokens are expected, or ends the round if there is none to wait for.
+    void continue_round(std::string const& account);
+    bool is_more_needed(account_state const& state) const;
+    void ask(std::string const& account, std::string const& vm);
+
+    /// Returns the VM that may give most, or an empty string. Estimates that differ by less than a
+    /// factor of two count as equal, so that gateways do not all ask the same one.
     std::string choose_peer(account_state const& state) const;
     void handle_response(
         std::string const& account,
         std::string const& vm,
+        token_request const& sent,
         std::optional<token_transfer> const& transfer);
     void end_round(std::string const& account);
     double estimate(holding const& it) const;
--- a/libraries/forwarding/src/prepaid_holder.cpp
+++ b/libraries/forwarding/src/prepaid_holder.cpp
@@ -244,8 +244,8 @@
 
 std::optional<reservation_result> prepaid_holder::try_resolve(
     std::string const& account,
-    token_account const& state,
-    waiting_request const& request)
+    token_account& state,
+    waiting_request& request)
 {
     auto const now = hooks_.clock();
     if (spendable(state) >= request.tokens)
@@ -257,7 +257,7 @@
     bool const is_peer_delay_over = now - request.since >= settings_.peer_delay;
     bool const is_expired = now >= request.expires;
     if (!is_expired && (exceeds_total || is_stalled || is_peer_delay_over) &&
-        ask_peers(account, state))
+        ask_peers(account, state, request))
         return std::nullopt;
     // What others hold may be out of reach, for example on a VM that is gone, but it is not spent.
     if (exceeds_total)
@@ -268,9 +268,14 @@
     return std::nullopt;
 }
 
-bool prepaid_holder::ask_peers(std::string const& account, token_account const& state) const
+bool prepaid_holder::ask_peers(
+    std::string const& account,
+    token_account& state,
+    waiting_request& request)
 {
-    if (!hooks_.ask_peers)
+    if (state.is_asking_peers)
+        return true;
+    if (!hooks_.ask_peers || request.peer_rounds >= settings_.peer_rounds)
         return false;
     std::int64_t waiting = 0;
     for (auto const& it : state.waiting)
@@ -279,7 +284,15 @@
     double const horizon_s =
         static_cast<double>(settings_.peer_horizon.count()) / milliseconds_per_second;
     auto const ahead = static_cast<std::int64_t>(state.demand.per_s() * horizon_s);
-    return hooks_.ask_peers({account, needed, needed + ahead});
+    state.is_asking_peers = hooks_.ask_peers({account, needed, needed + ahead});
+    request.peer_rounds += state.is_asking_peers ? 1 : 0;
+    return state.is_asking_peers;
+}
+
+void prepaid_holder::finish_peer_round(std::string const& account)
+{
+    accounts_[account].is_asking_peers = false;
+    serve_waiting();
 }
 
 token_transfer prepaid_holder::transfer_out(token_request const& request)
--- a/libraries/forwarding/src/token_transfer_client.cpp
+++ b/libraries/forwarding/src/token_transfer_client.cpp
@@ -1,6 +1,8 @@
+#include <almondcart/core/hash.hpp>
 #include <almondcart/forwarding/token_transfer_client.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace almondcart::forwarding {
@@ -19,7 +21,9 @@
     if (record.owner.vm == own_vm_ || record.peer_address.empty())
         return;
     peers_[record.owner.vm].address = record.peer_address;
-    auto const free = record.claimed_tokens - record.spending.spent_tokens;
+    // The peer can give no more than its report lets it spend.
+    auto const free =
+        std::min(record.claimed_tokens - record.spending.spent_tokens, record.spending.most_tokens);
     auto& it = accounts_[record.owner.account].holdings[record.owner.vm];
     it.tokens = static_cast<double>(free);
     it.demand_per_s = static_cast<double>(record.demand_per_s);
@@ -39,7 +43,7 @@
         return true;
     state.round = request;
     state.asked.clear();
-    ask_next(request.account);
+    continue_round(request.account);
     return state.round.has_value();
 }
 
@@ -47,70 +51,103 @@
 {
     auto const now = hooks_.clock();
     std::string best;
-    double max_tokens = 0;
+    std::pair<int, std::uint64_t> best_rank;
     for (auto const& [vm, holding] : state.holdings)
     {
         auto const it = peers_.find(vm);
         bool const is_blocked = it == peers_.end() || now < it->second.blocked_until;
-        if (is_blocked || now < holding.backoff_until || state.asked.contains(vm))
+        if (is_blocked || now < holding.backoff_until || state.asked.contains(vm) ||
+            state.open.contains(vm))
             continue;
         auto const tokens = estimate(holding);
-        if (tokens <= max_tokens)
+        if (tokens <= 0)
             continue;
-        max_tokens = tokens;
+        std::pair const rank{std::ilogb(tokens), hash64(own_vm_ + vm)};
+        if (!best.empty() && rank <= best_rank)
+            continue;
+        best_rank = rank;
         best = vm;
     }
     return best;
 }
 
-void token_transfer_client::ask_next(std::string const& account)
+bool token_transfer_client::is_more_needed(account_state const& state) const
+{
+    auto const open = static_cast<int>(state.open.size());
+    if (!state.round || open >= settings_.max_open ||
+        static_cast<int>(state.asked.size()) >= settings_.peers_per_round)
+        return false;
+    double expected = 0;
+    for (auto const& [vm, tokens] : state.open)
+        expected += tokens;
+    return open < settings_.min_open || expected < static_cast<double>(state.round->needed_tokens);
+}
+
+void token_transfer_client::continue_round(std::string const& account)
 {
     auto& state = accounts_[account];
-    auto const vm = choose_peer(state);
-    bool const is_limit_reached = static_cast<int>(state.asked.size()) >= settings_.peers_per_round;
-    if (vm.empty() || is_limit_reached)
+    while (is_more_needed(state))
     {
-        end_round(account);
-        return;
+        auto const vm = choose_peer(state);
+        if (vm.empty())
+            break;
+        ask(account, vm);
     }
+    // Peers that were asked in an earlier round and are yet to respond are not waited for.
+    if (state.round && (state.asked.empty() || state.open.empty()))
+        end_round(account);
+}
+
+void token_transfer_client::ask(std::string const& account, std::string const& vm)
+{
+    auto& state = accounts_[account];
+    auto request = *state.round;
+    // Only one peer is asked for tokens beyond the need, because all that give are received.
+    if (!state.asked.empty())
+        request.wanted_tokens = request.needed_tokens;
     state.asked.insert(vm);
+    state.open[vm] = estimate(state.holdings[vm]);
     hooks_.ask(
         peers_[vm].address,
-        *state.round,
-        [this, account, vm](std::optional<token_transfer> const& transfer)
-        { handle_response(account, vm, transfer); });
+        request,
+        [this, account, vm, request](std::optional<token_transfer> const& transfer)
+        { handle_response(account, vm, request, transfer); });
 }
 
 void token_transfer_client::handle_response(
     std::string const& account,
     std::string const& vm,
+    token_request const& sent,
     std::optional<token_transfer> const& transfer)
 {
     auto& state = accounts_[account];
     auto const now = hooks_.clock();
+    state.open.erase(vm);
     // A peer never gives more than is asked for, so its tokens could not be relied on.
-    bool const is_valid =
-        transfer && transfer->tokens >= 0 &&
-        transfer->tokens <= std::max(state.round->needed_tokens, state.round->wanted_tokens);
+    bool const is_valid = transfer && transfer->tokens >= 0 &&
+                          transfer->tokens <= std::max(sent.needed_tokens, sent.wanted_tokens);
     if (!is_valid)
     {
         peers_[vm].blocked_until = now + settings_.unreachable_backoff;
-        ask_next(account);
+        continue_round(account);
         return;
     }
     auto& holding = state.holdings[vm];
     holding.tokens = static_cast<double>(transfer->left_tokens);
     holding.seen = now;
-    if (transfer->tokens < state.round->needed_tokens)
+    if (transfer->tokens < sent.needed_tokens)
         holding.backoff_until = now + settings_.shortage_backoff;
-    state.round->needed_tokens -= transfer->tokens;
-    state.round->wanted_tokens -= transfer->tokens;
+    if (state.round)
+    {
+        state.round->needed_tokens -= transfer->tokens;
+        state.round->wanted_tokens -= transfer->tokens;
+    }
     if (transfer->tokens > 0)
         hooks_.receive(account, transfer->tokens);
-    if (state.round->needed_tokens > 0)
-        ask_next(account);
-    else
+    if (state.round && state.round->needed_tokens <= 0)
         end_round(account);
+    else
+        continue_round(account);
 }
 
 void token_transfer_client::end_round(std::string const& account)
--- a/services/gateway/token_transfer_rpc.cpp
+++ b/services/gateway/token_transfer_rpc.cpp
@@ -105,7 +105,7 @@
     hooks.receive = [this](std::string const& account, std::int64_t tokens)
     { prepaid_.holder_of(account).transfer_in(account, tokens); };
     hooks.on_end = [this](std::string const& account)
-    { prepaid_.holder_of(account).finish_peer_round(); };
+    { prepaid_.holder_of(account).finish_peer_round(account); };
     return hooks;
 }
 
--- a/tests/prepaid_fleet.hpp
+++ b/tests/prepaid_fleet.hpp
@@ -278,7 +278,8 @@
         { ask(i, address, request, std::move(done)); };
         it.receive = [this, i](std::string const& account, std::int64_t tokens)
         { gateways_[i].holder->transfer_in(account, tokens); };
-        it.on_end = [this, i](std::string const&) { gateways_[i].holder->finish_peer_round(); };
+        it.on_end = [this, i](std::string const& account)
+        { gateways_[i].holder->finish_peer_round(account); };
         gateways_[i].peers = std::make_unique<forwarding::token_transfer_client>(
             forwarding::token_transfer_client_settings{}, vm_of(i), it);
         hooks.ask_peers = [this, i](forwarding::token_request const& request)
