Forwarding: Lose less at the end of a prepaid total

Accounts were refused as exhausted with 96 to 97 in 100 used; the rest lay in what successors of dead processes wrote off.

Over nine tenths claimed, a gateway without a request for a second returns all that it holds, no more often than it reports, and gives a peer all that it wants.

The cut at the end of a total is bounded by a test that was not seen failing. Not measured on a deployment.

--- a/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/prepaid_holder.hpp
@@ -34,6 +34,7 @@
     duration clock_error{3000};    ///< largest backward step of the wall clock to tolerate
     duration peer_delay{60};       ///< wait for the log before peers are asked for tokens
     duration peer_horizon{2'000};  ///< demand requested from peers in addition to waiting requests
+    duration idle_time{1'000};     ///< without a request for an account before it counts as idle
     int peer_rounds = 2;           ///< in which peers are asked on behalf of one request
     log_writer_settings writer;
 };
@@ -151,6 +152,7 @@
     std::int64_t unspent(std::string const& account, token_account const& state) const;
     account_outlook outlook(std::string const& account, token_account const& state) const;
     std::int64_t compute_delta(std::string const& account, token_account const& state) const;
+    bool is_idle(token_account const& state) const;
     bool is_report_due(token_account const& state) const;
     bool is_log_stalled() const;
     duration report_interval() const;
--- a/libraries/forwarding/include/almondcart/forwarding/token_account.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/token_account.hpp
@@ -77,6 +77,7 @@
 
     token_demand demand;
     std::int64_t largest_request = 0;
+    instant last_request{};
     std::deque<waiting_request> waiting;
     bool is_asking_peers = false;
 
--- a/libraries/forwarding/src/account_outlook.cpp
+++ b/libraries/forwarding/src/account_outlook.cpp
@@ -32,6 +32,18 @@
 /// The same if they die while the log responds.
 constexpr double slack_loss_share = 0.05;
 
+/// Remaining shares of a total at which its end begins and at which the reductions apply in full.
+/// About half of what is left is then unclaimed, so nine tenths of the total are claimed at the
+/// second. Near the end, tokens that a restart writes off are missed by requests soon after, while
+/// a request that is refused in a cut leaves its tokens to others.
+constexpr double end_begin_share = 0.4;
+constexpr double end_full_share = 0.2;
+constexpr double end_slack_reduction = 0.5;
+constexpr double end_outage_reduction = 0.6;
+
+/// Unclaimed share of a total below which idle gateways give up what they hold.
+constexpr double nearly_claimed_share = 0.1;
+
 /// Share of what is left that is unclaimed from which the limits are distributed by held tokens
 /// alone. With none unclaimed they follow the demand alone.
 constexpr double fresh_unclaimed_share = 0.5;
@@ -61,6 +73,35 @@
         std::min(demand_per_s * horizon_s, share * covered_s * demand_per_s));
 }
 
+std::int64_t account_outlook::excess_free(std::int64_t needed, duration horizon, bool is_idle) const
+{
+    if (is_idle && is_nearly_claimed())
+        return std::max<std::int64_t>(0, free_tokens - needed);
+    // Returned tokens help other gateways only if little of the total is left.
+    if (unclaimed_tokens >= 2 * (free_tokens - needed))
+        return 0;
+    auto const target = target_free(horizon);
+    return free_tokens - needed > 2 * target ? free_tokens - needed - target : 0;
+}
+
+std::int64_t account_outlook::gift(
+    std::int64_t needed,
+    std::int64_t wanted,
+    std::int64_t available,
+    bool is_idle) const
+{
+    // Requests that wait at the peer take precedence over expected demand here; beyond them, the
+    // peer gets up to half of the available tokens.
+    auto const shared = is_idle && is_nearly_claimed() ? available : available / 2;
+    return std::min(available, std::max(needed, std::min(wanted, shared)));
+}
+
+bool account_outlook::is_nearly_claimed() const
+{
+    return static_cast<double>(unclaimed_tokens) <
+           nearly_claimed_share * static_cast<double>(total_tokens);
+}
+
 double account_outlook::left_tokens() const
 {
     // Free tokens may be negative in a report that counts waiting requests.
@@ -77,6 +118,14 @@
         static_cast<double>(unclaimed_tokens) / left / fresh_unclaimed_share, 0.0, 1.0);
 }
 
+double account_outlook::end_proximity() const
+{
+    if (total_tokens <= 0)
+        return 0;
+    double const share = left_tokens() / static_cast<double>(total_tokens);
+    return std::clamp((end_begin_share - share) / (end_begin_share - end_full_share), 0.0, 1.0);
+}
+
 double account_outlook::limit_share() const
 {
     auto const all_demand = all_demand_per_s();
@@ -100,14 +149,16 @@
         fresh * held_outage_share * static_cast<double>(std::max<std::int64_t>(0, free_tokens));
     auto const held_at_once = std::min(held_outage, fresh * held_loss_share * own_left);
 
+    double const near_end = end_proximity();
     // A slack below the size of a request only means that the request waits for a report.
-    double const most_slack = slack_loss_share * own_left;
+    double const most_slack = slack_loss_share * own_left * (1 - near_end * end_slack_reduction);
     double const demand_slack = std::min(
         std::max(slack_demand_s * demand_per_s, static_cast<double>(largest_request)), most_slack);
     double const slack = std::max(demand_slack, std::min(held_at_once, most_slack));
     double const covered_s = all_demand > 0 ? left / all_demand : full_outage_coverage_s;
-    double const outage_loss_share =
-        max_outage_loss_share * std::min(1.0, covered_s / full_outage_coverage_s);
+    double const outage_loss_share = max_outage_loss_share *
+                                     std::min(1.0, covered_s / full_outage_coverage_s) *
+                                     (1 - near_end * end_outage_reduction);
     double const most = std::max(demand_slack + outage_demand_s * demand_per_s, held_outage);
     double const outage = std::clamp(most - slack, 0.0, outage_loss_share * own_left);
     spending_report result;
--- a/libraries/forwarding/src/prepaid_holder.cpp
+++ b/libraries/forwarding/src/prepaid_holder.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-constexpr double milliseconds_per_second = 1000;
-
 /// Share of the target below which a gateway draws even if no request waits.
 constexpr double low_watermark = 0.85;
 
@@ -69,6 +67,7 @@
     auto& state = accounts_[account];
     state.demand.add(tokens);
     state.largest_request = std::max(state.largest_request, tokens);
+    state.last_request = hooks_.clock();
     if (state.waiting.empty() && spendable(state) >= tokens)
     {
         state.spend(tokens);
@@ -205,6 +204,7 @@
     result.others_free_tokens =
         std::max<std::int64_t>(0, others.claimed_tokens - others.spent_tokens);
     result.largest_request = state.largest_request;
+    result.total_tokens = hooks_.total(account).value_or(0);
     return result;
 }
 
@@ -219,18 +219,24 @@
         if (needed + it.tokens - free <= left)
             needed += it.tokens;
     }
-    auto const target = outlook(account, state).target_free(settings_.horizon);
+    auto const view = outlook(account, state);
+    auto const target = view.target_free(settings_.horizon);
     auto const watermark = static_cast<std::int64_t>(low_watermark * static_cast<double>(target));
     bool const is_low = free < needed || (is_report_time_ && free < needed + watermark);
     if (is_low)
         return std::clamp<std::int64_t>(needed + target - free, 0, left);
-    auto const excess = free - needed - 2 * target;
-    bool const is_due = is_stopping_ || is_return_due_;
-    // Returned tokens help other gateways only if little of the total is left.
-    bool const is_scarce = is_stopping_ || left < 2 * (free - needed);
-    if (excess <= 0 || !is_due || !is_scarce)
+    if (is_stopping_)
+        return -std::clamp<std::int64_t>(free - needed, 0, state.held_tokens());
+    if (!is_return_due_)
         return 0;
-    return -std::min(free - needed - target, state.held_tokens());
+    bool const is_giving_up = is_report_time_ && is_idle(state);
+    auto const excess = view.excess_free(needed, settings_.horizon, is_giving_up);
+    return -std::min(excess, state.held_tokens());
+}
+
+bool prepaid_holder::is_idle(token_account const& state) const
+{
+    return hooks_.clock() - state.last_request >= settings_.idle_time;
 }
 
 bool prepaid_holder::is_report_due(token_account const& state) const
@@ -281,8 +287,7 @@
     for (auto const& it : state.waiting)
         waiting += it.tokens;
     auto const needed = waiting - std::max<std::int64_t>(0, spendable(state));
-    double const horizon_s =
-        static_cast<double>(settings_.peer_horizon.count()) / milliseconds_per_second;
+    double const horizon_s = std::chrono::duration<double>(settings_.peer_horizon).count();
     auto const ahead = static_cast<std::int64_t>(state.demand.per_s() * horizon_s);
     state.is_asking_peers = hooks_.ask_peers({account, needed, needed + ahead});
     request.peer_rounds += state.is_asking_peers ? 1 : 0;
@@ -304,10 +309,9 @@
     for (auto const& it : state.waiting)
         available -= it.tokens;
     available = std::max<std::int64_t>(0, available);
-    // Requests that wait at the peer take precedence over expected demand here; beyond them, the
-    // peer gets up to half of the available tokens.
-    auto const shared = std::min(request.wanted_tokens, available / 2);
-    auto const tokens = std::min(available, std::max(request.needed_tokens, shared));
+    auto const tokens =
+        outlook(request.account, state)
+            .gift(request.needed_tokens, request.wanted_tokens, available, is_idle(state));
     state.spend(tokens);
     return {tokens, state.free_tokens()};
 }
--- a/tests/account_outlook.cpp
+++ b/tests/account_outlook.cpp
@@ -154,6 +154,42 @@
     cr_assert_leq(allowed(it, duration(0)), first);
 }
 
+// All gateways are killed when little is left of a total. Guards against writing off there what is
+// written off earlier, which leaves 2 to 3 in 100 of a total unused.
+Test(account_outlook, less_may_be_lost_near_the_end_of_a_total)
+{
+    auto it = one_of_four(12);
+    auto const early = allowed(it, duration(60'000));
+    it.total_tokens = 12 * 80'000 * 5;
+    cr_assert_leq(allowed(it, duration(0)), it.free_tokens / 4);
+    cr_assert_leq(allowed(it, duration(60'000)), early * 6 / 10);
+    cr_assert_gt(allowed(it, duration(60'000)), 0);
+    it.total_tokens = 12 * 80'000 * 2;
+    cr_assert_eq(allowed(it, duration(60'000)), early, "half of the total is left");
+}
+
+// Guards against tokens that stay with a gateway without requests while others lack them, and
+// against taking them from one that has requests.
+Test(account_outlook, idle_gateways_give_up_the_last_tokens)
+{
+    account_outlook it;
+    it.demand_per_s = 2'000;
+    it.others_demand_per_s = 60'000;
+    it.free_tokens = 20'000;
+    it.others_free_tokens = 80'000;
+    it.unclaimed_tokens = 90'000;
+    it.total_tokens = 1'000'000;
+    duration const horizon(15'000);
+    cr_assert_eq(it.excess_free(5'000, horizon, true), 15'000);
+    cr_assert_eq(it.excess_free(5'000, horizon, false), 0);
+    cr_assert_eq(it.gift(1'000, 18'000, 20'000, true), 18'000);
+    cr_assert_eq(it.gift(1'000, 18'000, 20'000, false), 10'000);
+    it.unclaimed_tokens = 200'000;
+    cr_assert_eq(it.excess_free(5'000, horizon, true), 0);
+    cr_assert_eq(it.gift(1'000, 18'000, 20'000, true), 10'000);
+    cr_assert_eq(it.gift(30'000, 30'000, 20'000, true), 20'000, "no more than is available");
+}
+
 // Guards against overdrawing when the total is topped down below what is claimed.
 Test(account_outlook, nothing_is_allowed_beyond_what_was_spent_when_nothing_is_left)
 {
--- a/tests/prepaid_limits.cpp
+++ b/tests/prepaid_limits.cpp
@@ -1,6 +1,8 @@
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
+#include <random>
+
 #include "prepaid_fleet.hpp"
 
 using namespace almondcart;
@@ -78,29 +80,29 @@
     auto const left = fleet.total() - fleet.spent();
     cr_assert_lt(left, 200'000);
     cut_all(fleet);
-    fleet.run(duration(1'000), 20'000, 2'000);
-    auto const spent = fleet.spent();
+    fleet.run(duration(100), 20'000, 2'000);
+    fleet.clock().advance(duration(6'000));
     for (int i = 0; i < gateways; ++i)
         fleet.start(i);
     for (int i = 0; i < gateways; ++i)
         fleet.set_fault(i, fault::none);
     fleet.run(duration(20'000), 20'000, 2'000);
     cr_assert_leq(fleet.spent(), fleet.total());
-    auto const lost = fleet.total() - std::max(fleet.spent(), spent);
-    cr_assert_leq(lost, left * 30 / 100 + fleet.total() * 3 / 100, "%ld", static_cast<long>(lost));
+    auto const lost = fleet.total() - fleet.spent();
+    cr_assert_leq(lost, left * 15 / 100, "%ld", static_cast<long>(lost));
 }
 
 // All gateways die at the end of an outage while the total is fresh. Guards against an account that
 // is left with little: at most 30 in 100 of the rest may be lost.
 Test(prepaid_limits, all_gateways_killed_during_an_outage_leave_the_account_usable)
 {
-    for (std::int64_t const total : {2'000'000, 8'000'000, 40'000'000})
+    for (std::int64_t const total : {2'600'000, 4'000'000, 8'000'000, 40'000'000})
     {
         prepaid_fleet fleet(gateways, total);
         leave_tokens_behind(fleet);
         cut_all(fleet);
         auto const left = total - fleet.spent();
-        fleet.run(duration(8'000), 20'000, 2'000);
+        fleet.run(duration(1'000), 20'000, 2'000);
         auto const spent = fleet.spent();
         fleet.clock().advance(duration(6'000));
         for (int i = 0; i < gateways; ++i)
@@ -155,3 +157,63 @@
         });
     cr_assert(is_held);
 }
+
+// All gateways are killed with a quarter of a total left, and the rest is used up. Guards against
+// what is written off then: with the limits of a fresh total 2 in 100 of it stay unused.
+Test(prepaid_limits, gateways_killed_near_the_end_of_a_total_leave_little_unused)
+{
+    prepaid_fleet fleet(gateways, 17'000'000);
+    fleet.connect_peers();
+    fleet.set_latency(duration(4));
+    fleet.run(duration(33'000), 95'000, 4'000);
+    fleet.clock().advance(duration(1'500));
+    for (int i = 0; i < gateways; ++i)
+        fleet.start(i);
+    fleet.run(duration(30'000), 95'000, 4'000);
+    cr_assert_leq(fleet.spent(), fleet.total());
+    cr_assert_geq(
+        fleet.spent(),
+        fleet.total() / 1'000 * 985,
+        "%.2f in 100",
+        100.0 * static_cast<double>(fleet.spent()) / static_cast<double>(fleet.total()));
+}
+
+// Thirty gateways have drawn, and then the demand moves between three of them. Guards against
+// tokens that stay with idle gateways, so that requests are refused as exhausted before 98.5 in 100
+// of the total are used.
+Test(prepaid_limits, idle_gateways_return_the_last_tokens_while_requests_wait_elsewhere)
+{
+    constexpr int count = 30;
+    constexpr unsigned requests_in_10_s = 480;
+    for (unsigned seed = 1; seed <= 20; ++seed)
+    {
+        bool const has_peers = seed % 2 == 0;
+        prepaid_fleet fleet(count, 8'000'000);
+        if (has_peers)
+            fleet.connect_peers();
+        fleet.set_latency(duration(4));
+        std::mt19937 random(seed);
+        auto const run = [&](int first, int step, int active)
+        {
+            for (duration now{0}; now < duration(1'000); now += duration(10))
+            {
+                for (int k = 0; k < active; ++k)
+                {
+                    if (random() % 1'000 < requests_in_10_s / static_cast<unsigned>(active))
+                        fleet.request((first + k * step) % count, 4'000 + random() % 8'000);
+                }
+                fleet.advance(duration(10));
+                auto const used =
+                    100.0 * static_cast<double>(fleet.spent()) / static_cast<double>(fleet.total());
+                if (used < 98)
+                    cr_assert_eq(fleet.count(reservation_result::exhausted), 0, "at %.2f", used);
+            }
+        };
+        for (int second = 0; second < 10; ++second)
+            run(0, 1, count);
+        for (int second = 0; second < 30; ++second)
+            run(static_cast<int>(random() % count), 7, 3);
+        cr_assert_leq(fleet.spent(), fleet.total());
+        cr_assert_geq(fleet.spent(), fleet.total() / 1'000 * 985);
+    }
+}
