--- a/libraries/forwarding/include/almondcart/forwarding/token_account.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/token_account.hpp
@@ -25,6 +25,7 @@
     instant since{};
     instant expires{};
     std::function<void(reservation_result)> done;
+    int peer_rounds = 0; ///< in which peers were asked for tokens while this was the first to wait
 };
 
 /// Tokens of one client account that this process holds, and the spending limit that it last
@@ -76,7 +77,9 @@
 
     token_demand demand;
     std::int64_t largest_request = 0;
+    instant last_request{};
     std::deque<waiting_request> waiting;
+    bool is_asking_peers = false;
 
 private:
     std::int64_t held_ = 0;      ///< by this process, including what predecessors have spent
