Tests: Freeze a router only after its peer knows its grants

The test waited until router 2 sees no tokens at other routers. That is also true before router 2 has read the record of router 1's grant, and when its status cannot be fetched. The wait then ends before anything is recovered, requests to router 2 are refused for lack of tokens after their deadline, and the resumed router 1 answers from a grant that is still its own, which is right.

Change, in the test's premise only: it waits until router 2 sees the grant before router 1 is frozen, and an unknown budget no longer counts as one without tokens. The late requests are sent before anything else, from the test's own thread, and their clients begin to wait when the router resumes; before, one could give up while the router was frozen, or hide the reason of an earlier failure behind a minute of waiting. No check is changed. The product is not changed.

Ruled out in the router: the listener's backlog holds the connections, requests are read after the freeze, and each refusal is logged without a buffer.

--- a/tests/end_to_end_failures.cpp
+++ b/tests/end_to_end_failures.cpp
@@ -6,8 +6,12 @@
 
 #include <csignal>
 #include <future>
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
+#include "support/chat_calls.hpp"
 #include "support/fleet.hpp"
 
 using namespace almondcart;
@@ -15,63 +19,13 @@
 
 namespace {
 
-using response_future = std::future<call_response>;
-
-response_future begin_request(fleet const& cluster, int router, call_request const& request)
-{
-    return std::async(
-        std::launch::async, [&cluster, router, request] { return cluster.send(router, request); });
-}
-
-/// Sends `count` chat requests at once, with keys that start with `key`.
-std::vector<response_future>
-begin_chats(fleet const& cluster, int router, std::string const& key, int count)
-{
-    std::vector<response_future> pending;
-    for (int n = 0; n < count; ++n)
-        pending.push_back(begin_request(
-            cluster,
-            router,
-            cluster.chat(
-                key + " prompt " + std::to_string(n), key + "-key-" + std::to_string(n), 64)));
-    return pending;
-}
-
-struct outcome_totals
-{
-    int answered = 0;
-    int refused = 0;
-    std::int64_t tokens = 0;
-};
-
-/// Waits for the responses, each of which must be an answer or a refusal for lack of tokens.
-outcome_totals collect(std::vector<response_future>& pending)
-{
-    outcome_totals totals;
-    for (auto& future : pending)
-    {
-        auto const response = future.get();
-        bool const is_answer = response.status == 200;
-        bool const is_refusal = response.code() == 1201 || response.code() == 1202;
-        expect(is_answer || is_refusal, "an answer or no tokens, got " + response.body);
-        expect(is_answer || response.ran() == "no", "not run, got " + response.body);
-        ++(is_answer ? totals.answered : totals.refused);
-        if (is_answer)
-            totals.tokens += response.json()["usage"]["total_tokens"].asInt64();
-    }
-    return totals;
-}
-
-void expect_whole_answer(call_response const& response, std::string const& prompt, int tokens)
-{
-    expect(response.status == 200 && response.is_complete, "an answer, got " + response.body);
-    expect(response.text() == expected_text(prompt, tokens), "all of it, got " + response.body);
-}
-
-/// Returns the tokens held by the other routers, as seen by `router`.
-std::int64_t tokens_held_by_other_routers(fleet const& cluster, int router)
+/// Returns the tokens held by the other routers, as seen by `router`, or nothing if it did not
+/// answer or does not know the budget.
+std::optional<std::int64_t> tokens_held_by_other_routers(fleet const& cluster, int router)
 {
     auto const budget = cluster.budget(router);
+    if (!budget.isObject())
+        return std::nullopt;
     return budget["charged"].asInt64() - budget["billed"].asInt64() -
            budget["free_here"].asInt64() - budget["reserved_here"].asInt64() -
            budget["pending_here"].asInt64();
@@ -285,10 +239,17 @@
 {
     fleet cluster(small_budget());
     auto const before = warm_up(cluster, 1);
+    // Router 2 may learn of the grant later than router 1. Before that it sees none, which does not
+    // mean that they were recovered.
+    wait_until(
+        "router 2 sees the grants of router 1",
+        [&] { return tokens_held_by_other_routers(cluster, 2) > 0; });
     cluster.send_signal("router-1", SIGSTOP);
     // These wait in the frozen router's connections and are dispatched when it resumes. Their
     // prompts are longer than the others, so that what those leave unspent covers none of them.
-    auto late = begin_chats(cluster, 1, "late-requests", 8);
+    // They are sent before anything else happens, and their clients begin to wait for a response
+    // when the router resumes, so that none of them gives up before.
+    auto late_calls = send_chats(cluster, 1, "late-requests", 8);
     wait_until(
         "the frozen router's grants are recovered",
         [&] { return tokens_held_by_other_routers(cluster, 2) == 0; });
@@ -301,6 +262,7 @@
         more = spend_all(cluster, 2, "rest-" + std::to_string(++pass));
     }
     cluster.send_signal("router-1", SIGCONT);
+    auto late = finish_calls(std::move(late_calls));
     auto const late_totals = collect(late);
     expect(late_totals.answered == 0, "late requests are refused");
     expect(cluster.executions("late-requests-key-") == 0, "no refused request ran");
--- a/tests/support/tcp.hpp
+++ b/tests/support/tcp.hpp
@@ -23,7 +23,8 @@
 };
 
 /// Returns a loopback address with a port that nothing listens on. Ports below the ephemeral range
-/// are used, so that no outgoing connection takes one before its server starts.
+/// are used, so that no outgoing connection takes one before its server starts. The port is
+/// reserved for this process until it ends, so that no other runner takes it in that time either.
 std::string find_free_address();
 
 /// Both return a closed socket on failure.
