Platform: Read less often from a store that is overloaded

A gateway with eight prepaid topics makes about 15 reading calls a second once it runs: five for the registry, one for each busy prepaid topic, one each for configuration and crash reports. 300 gateways make 4,500 of the 2,000 that the store takes, so it answers 429 all the time. Also, a call with 429 was copied to two relays before the same store, and if one of these copies was taken the direct path counted as down, so that all calls in progress were copied.

Change: read_pacing decides when a follower calls next. It is counted by almondcart_store_calls_overloaded. 503 and lost calls are treated as before.

Seen failing: read_pacing with fixed pauses (the naive variant in the test); store_relay calls_to_an_overloaded_store_are_not_copied with 429 as a refusal; platform reads_less_often_after_the_store_was_overloaded with 429 as an outage, a_read_that_is_waited_for_is_repeated_soon without the exception for awaited reads.

Not mended: appends beyond 800 writing calls a second, and the number of pages that each gateway lists.

--- a/libraries/forwarding/include/almondcart/forwarding/log_path_selector.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/log_path_selector.hpp
@@ -26,6 +26,7 @@
 enum class log_path_result
 {
     answered,    ///< the log processed the call
+    overloaded,  ///< the log gets too many calls from all processes; no effect
     refused,     ///< the log or the relay turned the call away, which had no effect
     lost,        ///< no response; the call may have taken effect
     unreachable, ///< the other end did not accept the call
--- a/libraries/forwarding/src/log_path_selector.cpp
+++ b/libraries/forwarding/src/log_path_selector.cpp
@@ -16,8 +16,8 @@
 
 std::string_view name_of(log_path_result result)
 {
-    static constexpr std::array<std::string_view, 4> names{
-        "answered", "refused", "lost", "unreachable"};
+    static constexpr std::array<std::string_view, 5> names{
+        "answered", "overloaded", "refused", "lost", "unreachable"};
     return names.at(static_cast<std::size_t>(result));
 }
 
@@ -90,18 +90,22 @@
 
 void log_path_selector::record(log_path const& path, log_path_result result, duration time)
 {
+    bool const is_reached =
+        result == log_path_result::answered || result == log_path_result::overloaded;
     if (path.is_direct())
     {
-        if (result != log_path_result::answered)
+        if (!is_reached)
             return;
-        answer_time_ = (answer_time_ + time) / 2;
+        // A call that is turned away is answered sooner than others.
+        if (result == log_path_result::answered)
+            answer_time_ = (answer_time_ + time) / 2;
         set_direct_up(true, name_of(result));
         return;
     }
     auto const it = relays_.find(path.relay);
     if (it == relays_.end())
         return;
-    if (result == log_path_result::answered)
+    if (is_reached)
     {
         futile_until_ = {};
         current_relay_ = path.relay;
--- a/services/gateway/crash_reports.cpp
+++ b/services/gateway/crash_reports.cpp
@@ -47,7 +47,7 @@
     , follower_(
           loop,
           store,
-          {.topic = platform::crash_topic, .pause = read_pause, .seed = hash64(vm_)},
+          {.topic = platform::crash_topic, .pacing = {.pause = read_pause, .seed = hash64(vm_)}},
           create_follower_hooks())
 {}
 
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -23,6 +23,14 @@
 /// Pause between reads of the registry, to which each upstream writes about once a second.
 constexpr duration registry_read_pause{200};
 
+/// While the store is overloaded. An entry that is not renewed lapses after about 3.6 s, so reads
+/// stay well below that.
+constexpr duration registry_max_pause{1'600};
+
+/// While the store is overloaded. Gateways leave a drained zone within 5 s after the operator's
+/// record, so the topic of the configuration is asked again soon.
+constexpr duration configuration_max_pause{400};
+
 constexpr duration maintenance_interval{50};
 constexpr duration settings_check_interval{1000};
 
@@ -248,7 +256,8 @@
         loop_,
         store_,
         platform::topic_follower_settings{
-            .topic = platform::configuration_topic, .seed = hash64(settings_.name)},
+            .topic = platform::configuration_topic,
+            .pacing = {.max_pause = configuration_max_pause, .seed = hash64(settings_.name)}},
         std::move(hooks));
     configuration_topic_->start();
 }
@@ -327,8 +336,10 @@
         store_,
         platform::topic_follower_settings{
             .topic = platform::upstream_topic,
-            .pause = registry_read_pause,
-            .seed = hash64(settings_.name)},
+            .pacing =
+                {.pause = registry_read_pause,
+                 .max_pause = registry_max_pause,
+                 .seed = hash64(settings_.name)}},
         std::move(hooks));
     upstream_topic_->start();
 }
@@ -363,7 +374,10 @@
     update_link_load();
     connections_.expire();
     metrics_.set_gauges(
-        server_->connection_count(), connections_.opened_count(), store_.call_count());
+        server_->connection_count(),
+        connections_.opened_count(),
+        store_.call_count(),
+        store_.overloaded_count());
     metrics_.set_buffered_bytes(context_.buffers->used_bytes());
     metrics_.set_store_path(store_paths_.is_direct_up(), store_paths_.relay_count());
     if (context_.is_stopping)
--- a/services/gateway/gateway_metrics.cpp
+++ b/services/gateway/gateway_metrics.cpp
@@ -83,7 +83,8 @@
 void gateway_metrics::set_gauges(
     std::size_t connections,
     std::size_t opened,
-    std::int64_t store_calls)
+    std::int64_t store_calls,
+    std::int64_t overloaded_store_calls)
 {
     metrics_.gauge("almondcart_client_connections", "Open client connections")
         .Set(static_cast<double>(connections));
@@ -91,6 +92,11 @@
         .Set(static_cast<double>(opened));
     metrics_.gauge("almondcart_store_calls", "Calls to the platform's store")
         .Set(static_cast<double>(store_calls));
+    metrics_
+        .gauge(
+            "almondcart_store_calls_overloaded",
+            "Calls that the platform's store turned away because it gets too many")
+        .Set(static_cast<double>(overloaded_store_calls));
 }
 
 void gateway_metrics::set_store_path(bool is_direct, std::size_t relays)
--- a/services/gateway/gateway_metrics.hpp
+++ b/services/gateway/gateway_metrics.hpp
@@ -21,7 +21,11 @@
     void observe_first_byte(std::string_view kind, duration time);
     void observe_total(std::string_view kind, duration time);
     void count_transfer(std::string_view result, std::int64_t tokens);
-    void set_gauges(std::size_t connections, std::size_t opened, std::int64_t store_calls);
+    void set_gauges(
+        std::size_t connections,
+        std::size_t opened,
+        std::int64_t store_calls,
+        std::int64_t overloaded_store_calls);
     void set_store_path(bool is_direct, std::size_t relays);
 
     void set_buffered_bytes(std::size_t n);
--- a/services/gateway/prepaid_log.cpp
+++ b/services/gateway/prepaid_log.cpp
@@ -20,6 +20,9 @@
 /// Pause between reads that nothing waits for, so that records of several gateways are batched.
 constexpr duration read_pause{1000};
 
+/// Longest such pause, while the store is overloaded. Reads that a claim waits for skip it.
+constexpr duration max_read_pause{6'400};
+
 } // namespace
 
 prepaid_log::prepaid_log(
@@ -65,7 +68,8 @@
     , follower_(
           loop,
           store,
-          {.topic = topic_, .pause = read_pause, .seed = hash64(producer_)},
+          {.topic = topic_,
+           .pacing = {.pause = read_pause, .max_pause = max_read_pause, .seed = hash64(producer_)}},
           create_hooks())
 {}
 
--- a/services/gateway/record_append.cpp
+++ b/services/gateway/record_append.cpp
@@ -18,6 +18,7 @@
     case platform::store_error::out_of_sequence:
         return append_outcome::out_of_sequence;
     case platform::store_error::rejected:
+    case platform::store_error::overloaded:
     case platform::store_error::deleted:
         return append_outcome::rejected;
     case platform::store_error::unanswered:
--- a/tests/log_path.cpp
+++ b/tests/log_path.cpp
@@ -49,6 +49,24 @@
     cr_assert(it.changes.empty());
 }
 
+// The log turns calls of all processes away. Guards against taking that for a path that is cut, for
+// a relay that is gone, or for a log that answers fast.
+Test(log_path_selector, an_overloaded_log_is_reached)
+{
+    selector_fixture it;
+    for (int n = 0; n < 10; ++n)
+        it.paths.record({}, log_path_result::answered, duration(200));
+    auto const limit = it.paths.silence_limit();
+    it.paths.record({}, log_path_result::overloaded, duration(1));
+    cr_assert_eq(it.paths.silence_limit().count(), limit.count());
+    it.bypass();
+    auto const relay = it.paths.choose();
+    it.paths.record(relay, log_path_result::overloaded, short_time);
+    cr_assert_eq(it.paths.choose().relay, relay.relay);
+    it.paths.record({}, log_path_result::overloaded, short_time);
+    cr_assert(it.paths.is_direct_up());
+}
+
 // An entry VM is cut from the log, and the relays are not. Guards against calls that keep using the
 // path that is cut, and against staying on relays once it is back.
 Test(log_path_selector, a_cut_direct_path_is_bypassed_until_a_probe_gets_through)
--- a/tests/platform.cpp
+++ b/tests/platform.cpp
@@ -304,6 +304,45 @@
     cr_assert_eq(it.values.size(), 8);
 }
 
+// Guards against a follower that returns to its usual pause at once when a store that is overloaded
+// takes a call, and against one that takes the overload for an outage.
+Test(topic_follower, reads_less_often_after_the_store_was_overloaded)
+{
+    topic_fixture it;
+    it.loop.run_until([&] { return it.snapshots == 1; });
+    it.store.set_overloaded(true);
+    it.loop.run_until([&] { return it.client.overloaded_count() == 4; });
+    it.store.set_overloaded(false);
+    it.store.put("keyed.op", "a", "1");
+    it.loop.run_until([&] { return it.values["a"] == "1"; });
+    auto const answered = it.loop.now();
+    it.store.put("keyed.op", "a", "2");
+    it.loop.run_until([&] { return it.values["a"] == "2"; });
+    // The pause of 0 became 100 ms and doubled three times, and half of that is taken back.
+    cr_assert_geq((it.loop.now() - answered).count(), 390);
+    cr_assert_eq(it.snapshots, 1);
+    cr_assert_eq(it.disconnects, 0);
+}
+
+// A claim of tokens waits for a read. Guards against one that waits for the end of a pause that is
+// long because the store was overloaded.
+Test(topic_follower, a_read_that_is_waited_for_is_repeated_soon)
+{
+    constexpr duration long_pause{1'600};
+    topic_fixture it;
+    it.loop.run_until([&] { return it.snapshots == 1; });
+    it.store.set_overloaded(true);
+    // From here on each pause is between 1.6 s and 3.2 s.
+    it.loop.run_until([&] { return it.client.overloaded_count() == 6; });
+    auto const begin = it.loop.now();
+    it.topic->poll_now();
+    it.loop.run_until([&] { return it.client.overloaded_count() == 9; });
+    cr_assert_lt((it.loop.now() - begin).count(), long_pause.count());
+    it.store.set_overloaded(false);
+    it.store.put("keyed.op", "a", "1");
+    it.loop.run_until([&] { return it.values["a"] == "1"; });
+}
+
 // Guards against missing changes while the store is down and after it has deleted old records.
 Test(topic_follower, follows_a_topic_through_outages_and_deleted_records)
 {
--- a/tests/store_relay.cpp
+++ b/tests/store_relay.cpp
@@ -224,6 +224,24 @@
         cr_assert_eq(*it.append(n).value, static_cast<std::int64_t>(n) - 1);
 }
 
+// The store turns calls away, because all processes together make too many. Guards against sending
+// each of them twice more through relays, and against leaving a direct path that works.
+Test(store_relay, calls_to_an_overloaded_store_are_not_copied)
+{
+    relay_fixture it;
+    it.append(1);
+    it.store.set_overloaded(true);
+    auto const before = it.client.call_count();
+    cr_assert(it.append(2).error == store_error::overloaded);
+    cr_assert_eq(it.client.call_count() - before, 1);
+    cr_assert_eq(it.client.overloaded_count(), 1);
+    cr_assert_eq(it.relayed(relay_outcome::passed_on), 0);
+    it.store.set_overloaded(false);
+    cr_assert_eq(*it.append(2).value, 1);
+    cr_assert(it.paths.is_direct_up());
+    cr_assert(it.path_changes.empty());
+}
+
 // Guards against taking a relay's report of a lost call for a refusal: the append may have taken
 // effect.
 Test(store_relay, an_append_that_the_store_did_not_answer_counts_as_unanswered)
--- a/utilities/standins/platform/store_standin.cpp
+++ b/utilities/standins/platform/store_standin.cpp
@@ -67,6 +67,8 @@
             {
                 if (is_down_)
                     exchange->respond_text(503, "text/plain", "");
+                else if (is_overloaded_)
+                    exchange->respond_text(429, "text/plain", "");
                 else
                     handle(exchange);
             });
--- a/utilities/standins/platform/store_standin.hpp
+++ b/utilities/standins/platform/store_standin.hpp
@@ -29,6 +29,9 @@
     /// While down, every call gets a 503 response and has no effect.
     void set_down(bool is_down) { is_down_ = is_down; }
 
+    /// While set, calls are turned away with 429, as when all processes together make too many.
+    void set_overloaded(bool is_overloaded) { is_overloaded_ = is_overloaded; }
+
     /// Sets the number of records per page of the listing.
     void set_page_limit(std::size_t limit) { page_limit_ = limit; }
 
@@ -97,6 +100,7 @@
     std::map<std::string, topic> topics_;
     std::vector<pending_read> pending_reads_;
     bool is_down_ = false;
+    bool is_overloaded_ = false;
     std::size_t page_limit_ = 500;
     bool is_next_page_failing_ = false;
     bool are_pages_repeated_ = false;
