--- a/libraries/forwarding/include/almondcart/forwarding/log_path_selector.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/log_path_selector.hpp
@@ -26,6 +26,7 @@
 enum class log_path_result
 {
     answered,    ///< the log processed the call
+    overloaded,  ///< the log gets too many calls from all processes; no effect
     refused,     ///< the log or the relay turned the call away, which had no effect
     lost,        ///< no response; the call may have taken effect
     unreachable, ///< the other end did not accept the call
@@ -52,6 +53,7 @@
     duration probe_interval{500};    ///< between probes of a direct path that is down
     duration relay_backoff{2'000};   ///< after a relay did not pass a call on
     duration futile_backoff{500};    ///< after no relay reached the log
+    duration shut_out_time{500};     ///< of overload without any answer before relays are tried
 };
 
 /// Chooses the path of each call to the log. Calls take the direct path until a relay gets an
@@ -101,6 +103,10 @@
     void record_futile();
 
     bool is_direct_up() const { return is_direct_up_; }
+
+    /// Whether the log answers only `overloaded` on the direct path. An overloaded log still serves
+    /// some calls of each process, so it probably turns this process away and serves others.
+    bool is_shut_out() const;
     std::size_t relay_count() const { return relays_.size(); }
 
 private:
@@ -110,6 +116,7 @@
         instant blocked_until{};
     };
 
+    void record_direct(log_path_result result, duration time);
     void set_direct_up(bool is_up, std::string_view evidence);
 
     log_path_settings settings_;
@@ -121,6 +128,8 @@
     instant next_probe_{};
     instant futile_until_{};
     duration answer_time_{0}; ///< smoothed, of direct calls
+    int overload_count_ = 0;  ///< of direct calls since the last one that was answered
+    instant overloaded_since_{};
 };
 
 } // namespace almondcart::forwarding
--- a/libraries/forwarding/src/log_path_selector.cpp
+++ b/libraries/forwarding/src/log_path_selector.cpp
@@ -12,12 +12,16 @@
 /// each call several times.
 constexpr int answer_time_factor = 4;
 
+/// Direct calls turned away in a row before this process counts as shut out. A log that gets twice
+/// as many calls as it takes does this to fewer than 1 in 100 such sequences.
+constexpr int shut_out_count = 8;
+
 } // namespace
 
 std::string_view name_of(log_path_result result)
 {
-    static constexpr std::array<std::string_view, 4> names{
-        "answered", "refused", "lost", "unreachable"};
+    static constexpr std::array<std::string_view, 5> names{
+        "answered", "overloaded", "refused", "lost", "unreachable"};
     return names.at(static_cast<std::size_t>(result));
 }
 
@@ -90,18 +94,18 @@
 
 void log_path_selector::record(log_path const& path, log_path_result result, duration time)
 {
+    bool const is_reached =
+        result == log_path_result::answered || result == log_path_result::overloaded;
     if (path.is_direct())
     {
-        if (result != log_path_result::answered)
-            return;
-        answer_time_ = (answer_time_ + time) / 2;
-        set_direct_up(true, name_of(result));
+        if (is_reached)
+            record_direct(result, time);
         return;
     }
     auto const it = relays_.find(path.relay);
     if (it == relays_.end())
         return;
-    if (result == log_path_result::answered)
+    if (is_reached)
     {
         futile_until_ = {};
         current_relay_ = path.relay;
@@ -110,6 +114,27 @@
     it->second.blocked_until = hooks_.clock() + settings_.relay_backoff;
 }
 
+void log_path_selector::record_direct(log_path_result result, duration time)
+{
+    // A call that is turned away is answered sooner than others and says nothing about the usual
+    // answer time.
+    if (result == log_path_result::answered)
+    {
+        answer_time_ = (answer_time_ + time) / 2;
+        overload_count_ = 0;
+    }
+    else if (overload_count_++ == 0)
+        overloaded_since_ = hooks_.clock();
+    if (!is_shut_out())
+        set_direct_up(true, name_of(result));
+}
+
+bool log_path_selector::is_shut_out() const
+{
+    return overload_count_ >= shut_out_count &&
+           hooks_.clock() - overloaded_since_ >= settings_.shut_out_time;
+}
+
 void log_path_selector::record_bypass(log_path_result direct)
 {
     set_direct_up(false, name_of(direct));
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -24,6 +24,10 @@
 /// Pause between reads of the registry, to which each upstream writes about once a second.
 constexpr duration registry_read_pause{200};
 
+/// While the store is overloaded. An entry that is not renewed lapses after about 3.6 s, so reads
+/// stay well below that.
+constexpr duration registry_max_pause{1'600};
+
 constexpr duration maintenance_interval{50};
 constexpr duration settings_check_interval{1000};
 
@@ -358,8 +362,10 @@
         store_,
         platform::topic_follower_settings{
             .topic = platform::upstream_topic,
-            .pause = registry_read_pause,
-            .seed = hash64(settings_.name)},
+            .pacing =
+                {.pause = registry_read_pause,
+                 .max_pause = registry_max_pause,
+                 .seed = hash64(settings_.name)}},
         std::move(hooks));
     upstream_topic_->start();
 }
@@ -395,7 +401,10 @@
     set_drain_gauges();
     connections_.expire();
     metrics_.set_gauges(
-        server_->connection_count(), connections_.opened_count(), store_.call_count());
+        server_->connection_count(),
+        connections_.opened_count(),
+        store_.call_count(),
+        store_.overloaded_count());
     update_limits();
     metrics_.set_store_path(store_paths_.is_direct_up(), store_paths_.relay_count());
     if (context_.is_stopping)
--- a/services/gateway/operator_topic.cpp
+++ b/services/gateway/operator_topic.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+/// While the store is overloaded. Gateways leave a drained zone within 5 s after the operator's
+/// record, so the topic of the configuration is asked again soon.
+constexpr duration max_pause{400};
+
 /// A drain with a malformed value is in force, because the operator asked for it.
 void check_drain(platform::keyed_record const& record)
 {
@@ -31,7 +35,12 @@
     configuration_function on_configuration)
     : drained_(drained)
     , on_configuration_(std::move(on_configuration))
-    , follower_(loop, store, {.topic = platform::configuration_topic, .seed = seed}, create_hooks())
+    , follower_(
+          loop,
+          store,
+          {.topic = platform::configuration_topic,
+           .pacing = {.max_pause = max_pause, .seed = seed}},
+          create_hooks())
 {}
 
 platform::topic_follower::hooks operator_topic::create_hooks()
--- a/tests/log_path.cpp
+++ b/tests/log_path.cpp
@@ -49,6 +49,24 @@
     cr_assert(it.changes.empty());
 }
 
+// The log turns calls of all processes away. Guards against taking that for a path that is cut, for
+// a relay that is gone, or for a log that answers fast.
+Test(log_path_selector, an_overloaded_log_is_reached)
+{
+    selector_fixture it;
+    for (int n = 0; n < 10; ++n)
+        it.paths.record({}, log_path_result::answered, duration(200));
+    auto const limit = it.paths.silence_limit();
+    it.paths.record({}, log_path_result::overloaded, duration(1));
+    cr_assert_eq(it.paths.silence_limit().count(), limit.count());
+    it.bypass();
+    auto const relay = it.paths.choose();
+    it.paths.record(relay, log_path_result::overloaded, short_time);
+    cr_assert_eq(it.paths.choose().relay, relay.relay);
+    it.paths.record({}, log_path_result::overloaded, short_time);
+    cr_assert(it.paths.is_direct_up());
+}
+
 // An entry VM is cut from the log, and the relays are not. Guards against calls that keep using the
 // path that is cut, and against staying on relays once it is back.
 Test(log_path_selector, a_cut_direct_path_is_bypassed_until_a_probe_gets_through)
@@ -138,3 +156,31 @@
     paths.record_bypass(log_path_result::lost);
     cr_assert(paths.choose().is_direct());
 }
+
+// The store answers 429 to some gateways and serves the others, for seconds. Guards against calls
+// that keep to a path on which none is served, and against relays being used as soon as an
+// overloaded store turns some calls away.
+Test(log_path_selector, a_gateway_that_alone_is_turned_away_counts_as_shut_out)
+{
+    selector_fixture it;
+    for (int i = 0; i < 20; ++i)
+    {
+        it.clock.advance(duration(50));
+        it.paths.record({}, log_path_result::overloaded, duration(4));
+        if (i % 4 == 0)
+            it.paths.record({}, log_path_result::answered, duration(4));
+        cr_assert_not(it.paths.is_shut_out(), "some calls are served");
+    }
+    for (int i = 0; i < 20; ++i)
+    {
+        it.clock.advance(duration(50));
+        it.paths.record({}, log_path_result::overloaded, duration(4));
+    }
+    cr_assert(it.paths.is_shut_out());
+    it.paths.record_bypass(log_path_result::overloaded);
+    it.paths.record({}, log_path_result::overloaded, duration(4));
+    cr_assert_not(it.paths.is_direct_up(), "a probe that is turned away does not end the bypass");
+    it.paths.record({}, log_path_result::answered, duration(4));
+    cr_assert(it.paths.is_direct_up());
+    cr_assert_not(it.paths.is_shut_out());
+}
