Gateway: Keep to what cold upstreams tolerate

A cold upstream crashes well above a few requests a second, and gateways did not read that an upstream is cold.

Each gateway appends one record to keyed.gateways before it is ready, where a service has a limit for cold upstreams, and removes it at a planned stop. `cold_start_limiter` gives each gateway its share of the limit over a sliding second; with more gateways than requests a second, rendezvous hashing selects those that send one. An upstream is cold by its entry, for coldStartS after a lost connection unless a later entry says that it is not, and after the drain of its zone. A permit is taken with the choice and confirmed right before the first byte; a 421 gives it back. Being cold is also a cost in the choice.

--- a/libraries/forwarding/include/almondcart/forwarding/configuration.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/configuration.hpp
@@ -63,6 +63,8 @@
     std::string name;
     int connection_limit = 1; ///< per upstream, across all gateways
     std::optional<engine_traits> engine;
+    duration cold_time{0};            ///< for which an upstream stays cold after its start
+    std::int64_t cold_per_second = 0; ///< requests that a cold upstream tolerates; 0: no limit
 };
 
 struct client_account
@@ -114,6 +116,9 @@
     std::optional<std::int64_t> prepaid_tokens(std::string_view name) const;
     service const* find_service(std::string_view name) const;
 
+    /// Whether any service limits what its cold upstreams get.
+    bool limits_cold_starts() const { return limits_cold_starts_; }
+
     /// Whether any client account exists. Without accounts, requests need no API key.
     bool has_accounts() const { return !content_.accounts.empty(); }
 
@@ -123,6 +128,7 @@
     std::unordered_map<std::string, client_account const*> accounts_;      ///< by API key
     std::map<std::string, client_account const*, std::less<>> accounts_by_name_;
     std::map<std::string, service const*, std::less<>> services_;
+    bool limits_cold_starts_ = false; ///< of any service
 };
 
 using configuration_pointer = std::shared_ptr<configuration_view const>;
--- a/libraries/forwarding/include/almondcart/forwarding/upstream_directory.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/upstream_directory.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <almondcart/core/instant.hpp>
+#include <almondcart/core/clock.hpp>
 #include <almondcart/forwarding/upstream_process.hpp>
 
 #include <cstddef>
@@ -27,6 +27,9 @@
     bool is_draining = false;
     std::int64_t started_ms = 0; ///< Unix time
 
+    /// How much longer the upstream stays cold, as of the entry, if the entry says so.
+    std::optional<duration> cold_left{};
+
     bool operator==(upstream_entry const&) const = default;
 };
 
@@ -44,6 +47,10 @@
     upstream_entry entry;
     bool is_gone = false; ///< deregistered; kept alive by requests in progress
     upstream_statement statement;
+    instant cold_until{}; ///< according to the entry
+
+    /// When the last entry arrived that is known to be recent.
+    std::optional<instant> entry_received;
 
     bool accepts_work() const { return !is_gone && !entry.is_draining && !statement.is_leaving; }
 
@@ -58,8 +65,12 @@
 class upstream_directory
 {
 public:
-    /// `on_change` is called for each upstream that was added, changed or removed.
-    explicit upstream_directory(std::function<void(upstream const&)> on_change = {});
+    /// `on_change` is called for each upstream that was added, changed or removed. How long an
+    /// upstream stays cold changes with each entry and does not count. Without a clock, this is not
+    /// kept.
+    explicit upstream_directory(
+        std::function<void(upstream const&)> on_change = {},
+        clock_function clock = {});
 
     /// Applies one registry entry, or removes the upstream if there is none. A new instance under a
     /// reused id replaces the upstream.
@@ -81,11 +92,14 @@
     std::map<std::string, upstream_pointer> const& all() const { return by_id_; }
 
 private:
+    void apply(std::string const& id, std::optional<upstream_entry> entry, bool is_recent);
+    void receive(upstream& target, upstream_entry entry, bool is_recent) const;
     void remove(std::string const& id);
     void remember(upstream const& target);
     void rebuild(std::string const& service);
 
     std::function<void(upstream const&)> on_change_;
+    clock_function clock_;
     std::map<std::string, upstream_pointer> by_id_;
     std::map<upstream_process, upstream_statement> statements_;
     std::deque<upstream_process> statement_order_; ///< oldest first
--- a/libraries/forwarding/include/almondcart/forwarding/upstream_picker.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/upstream_picker.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <almondcart/core/clock.hpp>
+#include <almondcart/forwarding/cold_start_limiter.hpp>
 #include <almondcart/forwarding/drained_zones.hpp>
 #include <almondcart/forwarding/prompt_info.hpp>
 #include <almondcart/forwarding/upstream_directory.hpp>
@@ -25,6 +26,9 @@
     /// Cost of another availability zone, in uncached prompt tokens.
     std::int64_t zone_penalty_tokens = 1500;
 
+    /// Cost of a cold engine, in uncached prompt tokens.
+    std::int64_t cold_penalty_tokens = 4000;
+
     /// Cost of one running request on an engine, in uncached prompt tokens.
     std::int64_t running_request_tokens = 40;
 
@@ -55,7 +59,8 @@
         clock_function clock,
         upstream_picker_settings settings,
         upstream_directory const& directory,
-        drained_zones const* drained = nullptr);
+        drained_zones const* drained = nullptr,
+        cold_start_limiter* cold_starts = nullptr);
 
     /// Returns the best upstream, or null if the service has none that accepts work now.
     upstream_pointer pick(pick_request const& request);
@@ -89,6 +94,7 @@
     /// Whether a new request may be sent to the upstream now. Blocks do not count, because they are
     /// guesses of this gateway.
     bool is_usable(upstream const& candidate, instant now) const;
+    bool is_cold(upstream const& candidate) const;
     bool is_drained(upstream const& candidate) const;
 
     double
@@ -105,7 +111,8 @@
     clock_function clock_;
     upstream_picker_settings settings_;
     upstream_directory const& directory_;
-    drained_zones const* drained_; ///< null if there are none
+    drained_zones const* drained_;    ///< null if there are none
+    cold_start_limiter* cold_starts_; ///< null if nothing is limited
     std::unordered_map<std::string, upstream_state> states_;
     std::uint64_t random_;
 };
--- a/libraries/forwarding/src/configuration.cpp
+++ b/libraries/forwarding/src/configuration.cpp
@@ -31,7 +31,10 @@
             accounts_.emplace(key, &account);
     }
     for (auto const& it : content_.services)
+    {
         services_.emplace(it.name, &it);
+        limits_cold_starts_ = limits_cold_starts_ || it.cold_per_second > 0;
+    }
 }
 
 route const* configuration_view::find_route(std::string_view host, std::string_view path) const
--- a/libraries/forwarding/src/log_writer.cpp
+++ b/libraries/forwarding/src/log_writer.cpp
@@ -1,5 +1,6 @@
 #include <almondcart/forwarding/crash_record.hpp>
 #include <almondcart/forwarding/draw_record.hpp>
+#include <almondcart/forwarding/gateway_registry.hpp>
 #include <almondcart/forwarding/log_writer.hpp>
 
 #include <algorithm>
@@ -165,5 +166,6 @@
 
 template class log_writer<draw_record>;
 template class log_writer<crash_record>;
+template class log_writer<gateway_record>;
 
 } // namespace almondcart::forwarding
--- a/libraries/forwarding/src/upstream_directory.cpp
+++ b/libraries/forwarding/src/upstream_directory.cpp
@@ -12,11 +12,36 @@
 
 } // namespace
 
-upstream_directory::upstream_directory(std::function<void(upstream const&)> on_change)
+upstream_directory::upstream_directory(
+    std::function<void(upstream const&)> on_change,
+    clock_function clock)
     : on_change_(std::move(on_change))
+    , clock_(std::move(clock))
 {}
 
 void upstream_directory::apply(std::string const& id, std::optional<upstream_entry> entry)
+{
+    apply(id, std::move(entry), true);
+}
+
+void upstream_directory::receive(upstream& target, upstream_entry entry, bool is_recent) const
+{
+    target.entry = std::move(entry);
+    if (!clock_)
+        return;
+    auto const now = clock_();
+    if (is_recent)
+        target.entry_received = now;
+    auto const cold_left = target.entry.cold_left.value_or(duration(0));
+    // An old entry may say less than an earlier one that was received in time.
+    auto const cold_until = now + cold_left;
+    target.cold_until = is_recent ? cold_until : std::max(target.cold_until, cold_until);
+}
+
+void upstream_directory::apply(
+    std::string const& id,
+    std::optional<upstream_entry> entry,
+    bool is_recent)
 {
     auto const it = by_id_.find(id);
     if (!entry)
@@ -32,8 +57,10 @@
                                    known.entry.started_ms == entry->started_ms;
         if (is_same_start)
         {
-            bool const is_changed = known.entry != *entry;
-            known.entry = *std::move(entry);
+            auto previous = known.entry;
+            previous.cold_left = entry->cold_left;
+            bool const is_changed = previous != *entry;
+            receive(known, *std::move(entry), is_recent);
             if (is_changed && on_change_)
                 on_change_(known);
             return;
@@ -41,7 +68,7 @@
         remove(id);
     }
     auto const added = std::make_shared<upstream>();
-    added->entry = *std::move(entry);
+    receive(*added, *std::move(entry), is_recent);
     if (auto const known = statements_.find(added->process()); known != statements_.end())
         added->statement = known->second;
     by_id_.emplace(id, added);
@@ -89,7 +116,7 @@
     for (auto const& id : missing)
         remove(id);
     for (auto const& [id, entry] : entries)
-        apply(id, entry);
+        apply(id, entry, false);
 }
 
 void upstream_directory::remove(std::string const& id)
--- a/libraries/forwarding/src/upstream_picker.cpp
+++ b/libraries/forwarding/src/upstream_picker.cpp
@@ -12,6 +12,9 @@
 /// Cost of another availability zone for services without engines, in running requests.
 constexpr double zone_penalty_requests = 0.7;
 
+/// Cost of a cold upstream for services without engines, in running requests.
+constexpr double cold_penalty_requests = 2;
+
 /// Number of cached parts tracked for one upstream before expired ones are dropped.
 constexpr std::size_t part_limit = 2000;
 
@@ -52,11 +55,13 @@
     clock_function clock,
     upstream_picker_settings settings,
     upstream_directory const& directory,
-    drained_zones const* drained)
+    drained_zones const* drained,
+    cold_start_limiter* cold_starts)
     : clock_(std::move(clock))
     , settings_(std::move(settings))
     , directory_(directory)
     , drained_(drained)
+    , cold_starts_(cold_starts)
     , random_(settings_.seed)
 {}
 
@@ -90,7 +95,11 @@
         auto const& state = state_of(it->entry.id);
         double value = cost(*it, state, request);
         if (request.prompt != nullptr)
-            value += static_cast<double>(uncached_tokens(state, *request.prompt, it == preferred));
+            value += static_cast<double>(uncached_tokens(
+                // The cache of a cold upstream has nothing from other gateways.
+                state,
+                *request.prompt,
+                it == preferred && !is_cold(*it)));
         random_ = mix(random_);
         constexpr double tie_break = 1e-3;
         value += tie_break * static_cast<double>(random_ % 1000) / 1000;
@@ -105,7 +114,13 @@
 
 bool upstream_picker::is_usable(upstream const& candidate, instant now) const
 {
-    return candidate.accepts_work() && !candidate.is_paused(now) && !is_drained(candidate);
+    return candidate.accepts_work() && !candidate.is_paused(now) && !is_drained(candidate) &&
+           (cold_starts_ == nullptr || cold_starts_->may_send(candidate));
+}
+
+bool upstream_picker::is_cold(upstream const& candidate) const
+{
+    return cold_starts_ != nullptr && cold_starts_->is_cold(candidate);
 }
 
 bool upstream_picker::is_drained(upstream const& candidate) const
@@ -151,8 +166,12 @@
                        ? last_resort_cost * state.health.failure_share()
                        : 0;
     bool const is_same_zone = candidate.entry.availability_zone == settings_.availability_zone;
+    bool const is_cold_now = is_cold(candidate);
     if (request.prompt == nullptr)
-        return value + state.in_flight + (is_same_zone ? 0 : zone_penalty_requests);
+        return value + state.in_flight + (is_same_zone ? 0 : zone_penalty_requests) +
+               (is_cold_now ? cold_penalty_requests : 0);
+    if (is_cold_now)
+        value += static_cast<double>(settings_.cold_penalty_tokens);
     if (state.in_flight >= candidate.entry.slots)
         value += last_resort_cost;
     value += static_cast<double>(state.waiting_tokens);
--- a/services/gateway/forward_session.cpp
+++ b/services/gateway/forward_session.cpp
@@ -245,10 +245,26 @@
     send();
 }
 
-bool forward_session::acquire_connection()
+forwarding::upstream_pointer forward_session::choose_upstream()
 {
     forwarding::pick_request const request{service_->name, prompt(), &tried_};
     auto target = context_.picker.pick(request);
+    while (target != nullptr)
+    {
+        if (auto permit = context_.cold_starts.try_reserve(target))
+        {
+            permit_ = *std::move(permit);
+            return target;
+        }
+        tried_.push_back(target->entry.id);
+        target = context_.picker.pick(request);
+    }
+    return nullptr;
+}
+
+bool forward_session::acquire_connection()
+{
+    auto target = choose_upstream();
     if (target == nullptr)
     {
         if (execution_ == execution_state::may_have_run)
@@ -283,10 +299,11 @@
     return true;
 }
 
-bool forward_session::may_send() const
+bool forward_session::may_send()
 {
-    // A drain may have begun since the upstream was chosen.
-    return !context_.drained.contains(in_flight_->target().entry.availability_zone);
+    // A drain may have begun since the upstream was chosen, or the upstream may have turned cold.
+    auto const& zone = in_flight_->target().entry.availability_zone;
+    return !context_.drained.contains(zone) && permit_.confirm();
 }
 
 bool forward_session::refuse_if_paused()
@@ -328,6 +345,11 @@
 {
     ++attempts_;
     sent_at_ = context_.loop.now();
+    if (connection_->is_connected() && !may_send())
+    {
+        on_withheld();
+        return;
+    }
     http1::outbound_connection::exchange_callbacks callbacks;
     callbacks.may_send = [self = shared_from_this()] { return self->may_send(); };
     callbacks.on_head = [self = shared_from_this()](http1::response_head const& head)
--- a/services/gateway/forward_session.hpp
+++ b/services/gateway/forward_session.hpp
@@ -44,7 +44,8 @@
     bool acquire_connection();
     bool refuse_if_drained();
     bool refuse_if_paused();
-    bool may_send() const;
+    forwarding::upstream_pointer choose_upstream();
+    bool may_send();
     void send();
     std::string encode_request() const;
 
@@ -110,6 +111,7 @@
     execution_state execution_ = execution_state::not_sent;
     std::vector<std::string> tried_;
     std::unique_ptr<forwarding::in_flight_guard> in_flight_;
+    forwarding::send_permit permit_; ///< of the current attempt
     upstream_connections::connection_pointer connection_;
     std::string last_upstream_;
 
--- a/services/gateway/forward_session_response.cpp
+++ b/services/gateway/forward_session_response.cpp
@@ -152,6 +152,10 @@
     if (is_done_)
         return;
     context_.metrics.count_attempt(http1::name_of(outcome));
+    // The upstream may have started anew. Time-outs do not get here.
+    if (outcome == exchange_outcome::not_connected || outcome == exchange_outcome::not_answered ||
+        outcome == exchange_outcome::broken_off)
+        context_.cold_starts.record_loss(in_flight_->target());
     if (outcome == exchange_outcome::withheld)
     {
         on_withheld();
@@ -245,6 +249,8 @@
 {
     if (execution_ == execution_state::not_sent)
         execution_ = execution_state::rejected;
+    if (response_.is_misdirected)
+        permit_.give_back();
     context_.picker.record(
         in_flight_->target(),
         response_.is_misdirected ? attempt_result::lost : attempt_result::full);
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -26,6 +26,7 @@
 
 constexpr duration maintenance_interval{50};
 constexpr duration settings_check_interval{1000};
+constexpr duration cold_check_interval{250};
 
 constexpr int http_ok = 200;
 constexpr int http_unavailable = 503;
@@ -131,12 +132,16 @@
               connections_.close_idle(it.entry.id);
               if (it.is_gone)
                   picker_.forget(it.entry.id);
-          })
+          },
+          [this] { return loop_.now(); })
+    , announcement_(loop_, store_, settings_.name)
+    , cold_starts_(create_cold_start_hooks(), announcement_.registry())
     , picker_(
           [this] { return loop_.now(); },
           {.availability_zone = settings_.availability_zone, .seed = hash64(settings_.name)},
           directory_,
-          &drained_)
+          &drained_,
+          &cold_starts_)
     , peers_(loop_, client_, settings_.name, metrics_, prepaid_)
     , prepaid_(
           loop_,
@@ -157,6 +162,7 @@
           nullptr,
           directory_,
           drained_,
+          cold_starts_,
           picker_,
           prepaid_,
           connections_,
@@ -235,6 +241,7 @@
     loop_.on_stop_signal([this] { begin_stop(); });
     loop_.on_reload_signal([this] { reload(); });
     operator_topic_.start();
+    announcement_.start();
     follow_upstreams();
     prepaid_.start();
     crashes_.start();
@@ -252,6 +259,8 @@
         ++count;
         if (change.is_drained)
             connections_.close_idle(id);
+        else
+            cold_starts_.record_drain_end(*it);
     }
     spdlog::info(
         "[drain] zone={} offset={} upstreams={} {}",
@@ -262,6 +271,43 @@
     set_drain_gauges();
 }
 
+forwarding::cold_start_limiter::hooks gateway::create_cold_start_hooks()
+{
+    forwarding::cold_start_limiter::hooks hooks;
+    hooks.clock = [this] { return loop_.now(); };
+    hooks.limits_of = [this](std::string const& name) -> forwarding::cold_start_limiter::limits
+    {
+        auto const* service = context_.configuration == nullptr
+                                  ? nullptr
+                                  : context_.configuration->find_service(name);
+        if (service == nullptr)
+            return {};
+        return {service->cold_time, service->cold_per_second};
+    };
+    hooks.on_change = [this](forwarding::upstream const& it, bool is_cold)
+    {
+        spdlog::info(
+            "[cold] upstream={} started_ms={} {} gateways={}",
+            it.entry.id,
+            it.entry.started_ms,
+            is_cold ? "cold" : "warm",
+            announcement_.registry().size());
+    };
+    return hooks;
+}
+
+void gateway::update_cold_starts()
+{
+    announcement_.tick();
+    auto const now = loop_.now();
+    if (now - cold_starts_checked_ < cold_check_interval)
+        return;
+    cold_starts_checked_ = now;
+    cold_starts_.tick(directory_);
+    metrics_.set_cold_starts(
+        cold_starts_.cold_count(), cold_starts_.kept_away_count(), announcement_.registry().size());
+}
+
 void gateway::set_drain_gauges()
 {
     auto const upstreams =
@@ -361,8 +407,10 @@
 
 void gateway::update_readiness()
 {
-    bool const is_ready = context_.configuration != nullptr && upstream_topic_ != nullptr &&
-                          directory_.size() > 0 && prepaid_.is_synced();
+    bool const is_ready =
+        context_.configuration != nullptr && upstream_topic_ != nullptr && directory_.size() > 0 &&
+        prepaid_.is_synced() &&
+        (announcement_.registry().is_complete() || !context_.configuration->limits_cold_starts());
     if (is_ready && !std::exchange(context_.is_ready, true))
         spdlog::info("[gateway] ready");
 }
@@ -383,6 +431,7 @@
     crashes_.tick();
     update_link_load();
     set_drain_gauges();
+    update_cold_starts();
     connections_.expire();
     metrics_.set_gauges(
         server_->connection_count(), connections_.opened_count(), store_.call_count());
@@ -447,7 +496,10 @@
     // Requests in progress have their reservations; the rest is for other gateways.
     prepaid_.begin_shutdown();
     bool const is_idle = server_->busy_count() == 0;
-    bool const is_settled = is_idle && !prepaid_.is_busy();
+    // Until then the others count this gateway among those that may send to cold upstreams.
+    if (is_idle)
+        announcement_.withdraw();
+    bool const is_settled = is_idle && !prepaid_.is_busy() && announcement_.is_withdrawn();
     if (!is_settled && now < context_.stop_deadline())
         return;
     spdlog::info("[gateway] exiting requests={}", server_->busy_count());
--- a/services/gateway/gateway.hpp
+++ b/services/gateway/gateway.hpp
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "crash_reports.hpp"
+#include "gateway_announcement.hpp"
 #include "gateway_context.hpp"
 #include "operator_topic.hpp"
 #include "prepaid_accounts.hpp"
@@ -42,6 +43,8 @@
     void follow_upstreams();
     void on_drain_change(forwarding::drained_zones::change const& change);
     void set_drain_gauges();
+    forwarding::cold_start_limiter::hooks create_cold_start_hooks();
+    void update_cold_starts();
     void apply_configuration(std::string const& text, std::int64_t offset);
     void update_relays();
     void handle(std::shared_ptr<http1::inbound_exchange> exchange);
@@ -65,6 +68,8 @@
     forwarding::drained_zones drained_;
     upstream_connections connections_;
     forwarding::upstream_directory directory_;
+    gateway_announcement announcement_;
+    forwarding::cold_start_limiter cold_starts_;
     forwarding::upstream_picker picker_;
     gateway_metrics metrics_;
     token_transfer_rpc peers_;
@@ -73,6 +78,7 @@
     gateway_context context_;
     forwarding::link_load link_;
     bool are_relays_outdated_ = false;
+    instant cold_starts_checked_{};
     operator_topic operator_topic_;
     std::unique_ptr<platform::topic_follower> upstream_topic_;
     std::unique_ptr<http_server> readiness_server_;
--- a/services/gateway/gateway_context.hpp
+++ b/services/gateway/gateway_context.hpp
@@ -41,6 +41,7 @@
     forwarding::configuration_pointer configuration; ///< null until one is loaded
     forwarding::upstream_directory& directory;
     forwarding::drained_zones& drained;
+    forwarding::cold_start_limiter& cold_starts;
     forwarding::upstream_picker& picker;
     prepaid_accounts& prepaid;
     upstream_connections& connections;
--- a/services/gateway/gateway_metrics.cpp
+++ b/services/gateway/gateway_metrics.cpp
@@ -139,6 +139,22 @@
         .Set(static_cast<double>(upstreams));
 }
 
+void gateway_metrics::set_cold_starts(
+    std::size_t upstreams,
+    std::int64_t kept_away,
+    std::size_t gateways)
+{
+    metrics_.gauge("almondcart_cold_upstreams", "Upstreams that are cold or may be")
+        .Set(static_cast<double>(upstreams));
+    metrics_
+        .gauge(
+            "almondcart_cold_kept_away",
+            "Times since the start that a request was kept away from a cold upstream")
+        .Set(static_cast<double>(kept_away));
+    metrics_.gauge("almondcart_known_gateways", "Gateways known, this one included")
+        .Set(static_cast<double>(gateways));
+}
+
 void gateway_metrics::count_drain_refusal()
 {
     metrics_
--- a/services/gateway/gateway_metrics.hpp
+++ b/services/gateway/gateway_metrics.hpp
@@ -3,6 +3,7 @@
 #include <almondcart/core/instant.hpp>
 #include <almondcart/http/metrics.hpp>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -38,6 +39,10 @@
 
     /// Counts a request that was refused because all upstreams are in drained zones.
     void count_drain_refusal();
+
+    /// `kept_away` is the number of times since the start that a request was kept away from a cold
+    /// upstream.
+    void set_cold_starts(std::size_t upstreams, std::int64_t kept_away, std::size_t gateways);
     metrics& registry() { return metrics_; }
 
 private:
--- a/tests/support/club_configuration.cpp
+++ b/tests/support/club_configuration.cpp
@@ -29,6 +29,8 @@
     service["name"] = "models";
     service["engine"]["slots"] = 8;
     service["engine"]["stride"] = 4;
+    service["coldStartS"] = 10;
+    service["coldPerS"] = cold_per_second;
     config["backends"].append(service);
     Json::Value account(Json::objectValue);
     account["name"] = "club";
--- a/tests/support/club_configuration.hpp
+++ b/tests/support/club_configuration.hpp
@@ -13,6 +13,7 @@
     std::int64_t prepaid_tokens = 0;
     std::string key = "key-1";
     int route_timeout_ms = 2000;
+    int cold_per_second = 0; ///< that a cold upstream tolerates; 0: no limit
 
     /// Returns the configuration as JSON text.
     std::string text() const;
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -78,7 +78,8 @@
     /// Publishes a configuration with one route to the service "models" per kind of request.
     void configure(int version, std::int64_t prepaid, std::string const& key = "key-1")
     {
-        club_configuration const configuration{version, prepaid, key, route_timeout_ms};
+        club_configuration const configuration{
+            version, prepaid, key, route_timeout_ms, cold_per_second};
         store.put("keyed.op", "config", configuration.text());
     }
 
@@ -191,6 +192,7 @@
     }
 
     int route_timeout_ms = 2000; ///< of the configurations published from now on
+    int cold_per_second = 0;     ///< of the configurations published from now on
     std::vector<std::shared_ptr<http1::outbound_connection>> connections;
     std::optional<child_process> gateway;
 };
--- a/utilities/standins/platform/upstream_standin.cpp
+++ b/utilities/standins/platform/upstream_standin.cpp
@@ -57,6 +57,7 @@
     entry["slots"] = 8;
     entry["state"] = state;
     entry["born"] = start_count_;
+    entry["coldLeftMs"] = Json::Int64(cold_left_.count());
     return to_compact_json(entry);
 }
 
--- a/utilities/standins/platform/upstream_standin.hpp
+++ b/utilities/standins/platform/upstream_standin.hpp
@@ -50,6 +50,9 @@
     /// Sets the availability zone of the registry entries from now on.
     void set_zone(std::string zone) { zone_ = std::move(zone); }
 
+    /// Sets how much longer the registry entries from now on say that the upstream stays cold.
+    void set_cold_left(duration cold_left) { cold_left_ = cold_left; }
+
     /// While set, each response says that the upstream is leaving.
     void set_leaving(bool is_leaving) { is_leaving_ = is_leaving; }
 
@@ -114,6 +117,7 @@
     event_loop& loop_;
     std::string id_;
     std::string zone_ = "zone-1";
+    duration cold_left_{0};
     upstream_mode mode_ = upstream_mode::single_body;
     bool are_streams_paused_ = false;
     bool is_leaving_ = false;
