--- a/tests/core.cpp
+++ b/tests/core.cpp
@@ -122,6 +122,24 @@
     cr_assert_not(single.allows(limit / 3 + step));
 }
 
+// Guards against small buffers, each of which is always allowed, that fill the memory together.
+Test(buffer_budget, small_buffers_pass_the_limit_by_the_overrun_at_most)
+{
+    constexpr std::size_t limit = 1'000'000;
+    constexpr std::size_t overrun = 250'000;
+    auto const budget = std::make_shared<buffer_budget>(limit, overrun);
+    std::deque<buffer_account> accounts;
+    for (int n = 0; n < 1'000; ++n)
+    {
+        auto& it = accounts.emplace_back(budget);
+        if (it.allows(buffer_budget::guaranteed_bytes))
+            it.resize(buffer_budget::guaranteed_bytes);
+        cr_assert_leq(budget->used_bytes(), limit + overrun);
+    }
+    cr_assert_gt(budget->used_bytes(), limit);
+    cr_assert(accounts.front().allows(accounts.front().bytes()));
+}
+
 // Guards against bytes that are no text in what is passed on as text.
 Test(text, tells_valid_utf8)
 {
--- a/tests/http1_limits.cpp
+++ b/tests/http1_limits.cpp
@@ -1,7 +1,9 @@
 #include <almondcart/core/buffer_budget.hpp>
 
 #include <criterion/criterion.h>
+#include <unistd.h>
 
+#include <array>
 #include <memory>
 #include <optional>
 #include <string>
@@ -233,3 +235,43 @@
     it.loop.run_until([&] { return !it.exchanges.empty(); });
     cr_assert(it.exchanges[0]->body() == *part + "abc");
 }
+
+// A write is completed after the peer has read, and leaves the socket full. The next one is small,
+// completes at once, and is the last. Guards against a socket that is still polled for writing
+// then, which h2o ends the process for once the peer reads on.
+Test(byte_stream, a_small_write_on_a_full_socket_ends_no_process)
+{
+    event_loop loop;
+    auto const tick = loop.every(duration(1), [] {});
+    auto const run = [&](int count)
+    { loop.run_until([rounds = count + 1]() mutable { return --rounds == 0; }); };
+    std::string buf(std::size_t{4} * 1024, '\0');
+    for (std::size_t size = 300'000; size < 500'000; size += 5'000)
+    {
+        std::array<int, 2> pair{};
+        cr_assert_eq(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, pair.data()), 0);
+        auto const stream = byte_stream::adopt(loop, pair[0], {});
+        std::size_t received = 0;
+        auto const read_some = [&]
+        {
+            auto const n = recv(pair[1], buf.data(), buf.size(), 0);
+            received += n > 0 ? static_cast<std::size_t>(n) : 0;
+        };
+        stream->write(std::string(size, 'x'));
+        run(10);
+        while (stream->pending_bytes() > 0)
+        {
+            read_some();
+            run(1);
+        }
+        stream->write("x");
+        run(2);
+        while (received <= size)
+        {
+            read_some();
+            run(1);
+        }
+        cr_assert_eq(received, size + 1);
+        ::close(pair[1]);
+    }
+}
--- a/tests/untrusted_clients_gateway.cpp
+++ b/tests/untrusted_clients_gateway.cpp
@@ -238,3 +238,21 @@
         clients.send(n, request_with_length("l-" + std::to_string(n), body.size()) + body);
     it.check();
 }
+
+// Guards against limits that refuse, or do not pass on, what the operator's limits allow while
+// nothing else is there.
+Test(untrusted_clients_gateway, the_largest_legal_body_is_served_in_calm)
+{
+    untrusted_fixture it;
+    std::string response;
+    http1::byte_stream::callbacks hooks;
+    hooks.on_data = [&](std::string_view data) { response += data; };
+    hooks.on_end = [](http1::close_reason) {};
+    auto const client =
+        http1::byte_stream::connect(it.loop, *socket_address::parse(it.listen), std::move(hooks));
+    client->write(
+        request_with_length("largest", body_limit_bytes) + std::string(body_limit_bytes, 'x'));
+    it.run_until([&] { return response.find("\r\n\r\n") != std::string::npos; });
+    cr_assert(response.starts_with("HTTP/1.1 200 "), "%s", response.c_str());
+    it.check();
+}
