Gateway: Ask the processes beside engines for their load

Cause: each of 37 gateways knows only its own requests at an engine, so several send long prompts to one engine while others are free, and streams there stall while the prompts are read.

Change: a relay counts the prompts that all gateways announce to the engine beside it: tokens that wait, requests that run, parts that are cached, speed of reading. A gateway asks the relays of up to four engines by datagram and chooses by predicted milliseconds. Without an answer within 12 ms the picker decides as before.

--- /dev/null
+++ b/libraries/forwarding/include/almondcart/forwarding/load_message.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <almondcart/forwarding/engine_queue.hpp>
+#include <almondcart/forwarding/prompt_info.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace almondcart::forwarding {
+
+/// What a datagram between a gateway and the process beside an engine says.
+enum class load_message_kind
+{
+    query,       ///< asks for the engine's load, for a prompt
+    answer,      ///< the load that a query asked for
+    announce,    ///< the sender sends a request with this prompt to the engine
+    prompt_read, ///< the first event of a request has arrived
+    end,         ///< a request has ended
+};
+
+std::string_view name_of(load_message_kind kind);
+
+/// Datagram between a gateway and the process beside an engine. One that is lost costs precision
+/// only.
+struct load_message
+{
+    load_message_kind kind = load_message_kind::query;
+    std::int64_t number = 0; ///< of a query and its answer
+    std::string request;     ///< id of the request; empty in a query and its answer
+    prompt_info prompt;      ///< of a query and an announcement
+    engine_load load;        ///< of an answer
+
+    std::string encode() const;
+
+    /// Returns nothing if `text` is not a valid message.
+    static std::optional<load_message> decode(std::string_view text);
+};
+
+} // namespace almondcart::forwarding
--- a/libraries/forwarding/include/almondcart/forwarding/upstream_picker.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/upstream_picker.hpp
@@ -41,6 +41,14 @@
 
 class in_flight_guard;
 
+/// Receives the course of requests to engines, for those who share their load.
+struct engine_request_hooks
+{
+    std::function<void(upstream const&, std::string const& request, prompt_info const&)> on_begin;
+    std::function<void(upstream const&, std::string const& request)> on_prompt_read;
+    std::function<void(upstream const&, std::string const& request)> on_end;
+};
+
 /// Selects upstreams. For engines the cost of a candidate is the uncached prompt tokens, those
 /// already queued there, the running requests and the availability zone. Requests that share a
 /// prompt prefix prefer the upstream chosen by rendezvous hashing, which all gateways compute
@@ -57,12 +65,20 @@
     /// Returns the best upstream, or null if the service has none that accepts work now.
     upstream_pointer pick(pick_request const& request);
 
+    /// Returns up to `limit` upstreams among which the best is likely to be: the one that `pick`
+    /// would return, those that may have cached the prompt, and others at random, so that gateways
+    /// with the same view do not all select one upstream.
+    std::vector<upstream_pointer> shortlist(pick_request const& request, std::size_t limit);
+
     /// Returns when the first pause ends if all upstreams of the service that accept work are
     /// paused, or nothing if one is not.
     std::optional<instant> common_pause_end(std::string_view service) const;
 
     /// Registers a request to `target` until the returned guard is destroyed.
-    std::unique_ptr<in_flight_guard> begin(upstream_pointer target, prompt_info const* prompt);
+    std::unique_ptr<in_flight_guard>
+    begin(upstream_pointer target, std::string const& request, prompt_info const* prompt);
+
+    void set_hooks(engine_request_hooks hooks) { hooks_ = std::move(hooks); }
 
     void record(upstream const& target, attempt_result result);
 
@@ -82,6 +98,10 @@
 
     double
     cost(upstream const& candidate, upstream_state const& state, pick_request const& request);
+    std::vector<upstream_pointer> available(pick_request const& request);
+    upstream_pointer
+    cheapest(std::vector<upstream_pointer> const& candidates, pick_request const& request);
+    std::uint64_t next_random();
     std::int64_t uncached_tokens(
         upstream_state const& state,
         prompt_info const& prompt,
@@ -96,13 +116,18 @@
     upstream_directory const& directory_;
     std::unordered_map<std::string, upstream_state> states_;
     std::uint64_t random_;
+    engine_request_hooks hooks_;
 };
 
 /// Counts one request of this gateway as load of its upstream until it is destroyed.
 class in_flight_guard
 {
 public:
-    in_flight_guard(upstream_picker& picker, upstream_pointer target, prompt_info const* prompt);
+    in_flight_guard(
+        upstream_picker& picker,
+        upstream_pointer target,
+        std::string const& request,
+        prompt_info const* prompt);
     ~in_flight_guard();
     in_flight_guard(in_flight_guard const&) = delete;
     in_flight_guard& operator=(in_flight_guard const&) = delete;
@@ -114,9 +139,13 @@
     upstream_pointer const& pointer() const { return target_; }
 
 private:
+    void release_waiting_tokens();
+
     upstream_picker& picker_;
     upstream_pointer target_;
+    std::string request_;             ///< empty if the upstream is no engine
     std::int64_t waiting_tokens_ = 0;
+    bool is_prompt_read_ = false;
 };
 
 } // namespace almondcart::forwarding
--- a/libraries/forwarding/src/upstream_picker.cpp
+++ b/libraries/forwarding/src/upstream_picker.cpp
@@ -2,6 +2,7 @@
 #include <almondcart/forwarding/upstream_picker.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -58,10 +59,10 @@
     , random_(settings_.seed)
 {}
 
-upstream_pointer upstream_picker::pick(pick_request const& request)
+std::vector<upstream_pointer> upstream_picker::available(pick_request const& request)
 {
     auto const now = clock_();
-    std::vector<upstream_pointer> candidates;
+    std::vector<upstream_pointer> result;
     upstream_pointer next_unblocked;
     for (auto const& it : directory_.of_service(request.service))
     {
@@ -70,7 +71,7 @@
             continue;
         auto const& state = state_of(it->entry.id);
         if (state.health.is_available(now))
-            candidates.push_back(it);
+            result.push_back(it);
         else if (
             !next_unblocked || state.health.blocked_until() <
                                    state_of(next_unblocked->entry.id).health.blocked_until())
@@ -78,8 +79,20 @@
     }
     // If all candidates are blocked, the one whose block ends first is tried, because the blocks
     // may be outdated.
-    if (candidates.empty())
-        return next_unblocked;
+    if (result.empty() && next_unblocked)
+        result.push_back(std::move(next_unblocked));
+    return result;
+}
+
+upstream_pointer upstream_picker::pick(pick_request const& request)
+{
+    return cheapest(available(request), request);
+}
+
+upstream_pointer upstream_picker::cheapest(
+    std::vector<upstream_pointer> const& candidates,
+    pick_request const& request)
+{
     auto const preferred = request.prompt == nullptr ? upstream_pointer()
                                                      : affinity_target(candidates, *request.prompt);
     upstream_pointer best;
@@ -90,9 +103,9 @@
         double value = cost(*it, state, request);
         if (request.prompt != nullptr)
             value += static_cast<double>(uncached_tokens(state, *request.prompt, it == preferred));
-        random_ = mix(random_);
         constexpr double tie_break = 1e-3;
-        value += tie_break * static_cast<double>(random_ % 1000) / 1000;
+        constexpr std::uint64_t steps = 1000;
+        value += tie_break * static_cast<double>(next_random() % steps) / steps;
         if (value < best_cost)
         {
             best_cost = value;
@@ -102,6 +115,44 @@
     return best;
 }
 
+std::vector<upstream_pointer>
+upstream_picker::shortlist(pick_request const& request, std::size_t limit)
+{
+    auto rest = available(request);
+    std::vector<upstream_pointer> result;
+    auto const take = [&](upstream_pointer const& it)
+    {
+        if (it == nullptr || result.size() >= limit)
+            return;
+        result.push_back(it);
+        std::erase(rest, it);
+    };
+    if (request.prompt != nullptr)
+    {
+        take(affinity_target(rest, *request.prompt));
+        take(affinity_target(rest, *request.prompt));
+    }
+    take(cheapest(rest, request));
+    auto const is_local = [this](upstream_pointer const& it)
+    { return it->entry.availability_zone == settings_.availability_zone; };
+    std::vector<upstream_pointer> local;
+    std::copy_if(rest.begin(), rest.end(), std::back_inserter(local), is_local);
+    while (result.size() < limit && !rest.empty())
+    {
+        auto const& from = local.empty() ? rest : local;
+        auto const it = from[next_random() % from.size()];
+        take(it);
+        std::erase(local, it);
+    }
+    return result;
+}
+
+std::uint64_t upstream_picker::next_random()
+{
+    random_ = mix(random_);
+    return random_;
+}
+
 std::optional<instant> upstream_picker::common_pause_end(std::string_view service) const
 {
     auto const now = clock_();
@@ -177,10 +228,12 @@
     return preferred;
 }
 
-std::unique_ptr<in_flight_guard>
-upstream_picker::begin(upstream_pointer target, prompt_info const* prompt)
+std::unique_ptr<in_flight_guard> upstream_picker::begin(
+    upstream_pointer target,
+    std::string const& request,
+    prompt_info const* prompt)
 {
-    return std::make_unique<in_flight_guard>(*this, std::move(target), prompt);
+    return std::make_unique<in_flight_guard>(*this, std::move(target), request, prompt);
 }
 
 void upstream_picker::record(upstream const& target, attempt_result result)
@@ -202,6 +255,7 @@
 in_flight_guard::in_flight_guard(
     upstream_picker& picker,
     upstream_pointer target,
+    std::string const& request,
     prompt_info const* prompt)
     : picker_(picker)
     , target_(std::move(target))
@@ -213,17 +267,31 @@
     waiting_tokens_ = picker_.uncached_tokens(state, *prompt, false);
     state.waiting_tokens += waiting_tokens_;
     picker_.remember_parts(state, *prompt);
+    request_ = request;
+    if (picker_.hooks_.on_begin)
+        picker_.hooks_.on_begin(*target_, request_, *prompt);
 }
 
 in_flight_guard::~in_flight_guard()
 {
-    set_prompt_read();
+    release_waiting_tokens();
     auto const it = picker_.states_.find(target_->entry.id);
     if (it != picker_.states_.end() && it->second.in_flight > 0)
         --it->second.in_flight;
+    if (!request_.empty() && picker_.hooks_.on_end)
+        picker_.hooks_.on_end(*target_, request_);
 }
 
 void in_flight_guard::set_prompt_read()
+{
+    if (std::exchange(is_prompt_read_, true))
+        return;
+    release_waiting_tokens();
+    if (!request_.empty() && picker_.hooks_.on_prompt_read)
+        picker_.hooks_.on_prompt_read(*target_, request_);
+}
+
+void in_flight_guard::release_waiting_tokens()
 {
     auto const it = picker_.states_.find(target_->entry.id);
     if (it != picker_.states_.end())
--- a/libraries/http/include/almondcart/http/socket_address.hpp
+++ b/libraries/http/include/almondcart/http/socket_address.hpp
@@ -19,6 +19,9 @@
     /// Local address of the bound socket `fd`.
     static socket_address of_socket(int fd);
 
+    /// Address of a peer, as the sockets API returned it.
+    static socket_address of_native(sockaddr const* address, socklen_t size);
+
     sockaddr const* native() const;
     sockaddr* native();
     socklen_t size() const { return size_; }
--- a/libraries/http/src/socket_address.cpp
+++ b/libraries/http/src/socket_address.cpp
@@ -5,8 +5,10 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
+#include <cstring>
 #include <limits>
 #include <string>
 
@@ -71,6 +73,14 @@
     return address;
 }
 
+socket_address socket_address::of_native(sockaddr const* address, socklen_t size)
+{
+    socket_address result;
+    result.size_ = std::min<socklen_t>(size, sizeof(result.storage_));
+    std::memcpy(&result.storage_, address, result.size_);
+    return result;
+}
+
 sockaddr const* socket_address::native() const
 {
     return reinterpret_cast<sockaddr const*>(&storage_);
--- /dev/null
+++ b/services/gateway/engine_placement.cpp
@@ -0,0 +1,145 @@
+#include "engine_placement.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace almondcart {
+
+namespace {
+
+using forwarding::load_message;
+using forwarding::load_message_kind;
+
+/// Engines that are asked for one request. With more, the answers are hardly better, and each costs
+/// two datagrams.
+constexpr std::size_t query_limit = 4;
+
+/// Time to wait for answers. It covers a round trip between availability zones; a process that does
+/// not answer by then is lost, frozen or cut off.
+constexpr duration query_timeout{12};
+
+std::string host_of(std::string const& address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
+} // namespace
+
+engine_placement::engine_placement(
+    event_loop& loop,
+    forwarding::upstream_picker& picker,
+    gateway_metrics& metrics,
+    std::string availability_zone,
+    int load_port)
+    : loop_(loop)
+    , picker_(picker)
+    , metrics_(metrics)
+    , chooser_({.availability_zone = std::move(availability_zone)})
+    , load_port_(load_port)
+{
+    if (load_port_ == 0)
+        return;
+    forwarding::engine_request_hooks hooks;
+    hooks.on_begin = [this](
+                         forwarding::upstream const& target,
+                         std::string const& request,
+                         forwarding::prompt_info const& prompt)
+    { send(target, {.kind = load_message_kind::announce, .request = request, .prompt = prompt}); };
+    hooks.on_prompt_read = [this](forwarding::upstream const& target, std::string const& request)
+    { send(target, {.kind = load_message_kind::prompt_read, .request = request}); };
+    hooks.on_end = [this](forwarding::upstream const& target, std::string const& request)
+    { send(target, {.kind = load_message_kind::end, .request = request}); };
+    picker_.set_hooks(std::move(hooks));
+}
+
+absl::Status engine_placement::open(std::string const& listen_address)
+{
+    if (load_port_ == 0)
+        return absl::OkStatus();
+    auto const address = socket_address::parse(host_of(listen_address) + ":0");
+    if (!address.ok())
+        return address.status();
+    auto socket = datagram_socket::create(
+        loop_,
+        *address,
+        [this](std::string_view data, socket_address const& /*sender*/) { receive(data); });
+    if (!socket.ok())
+        return socket.status();
+    socket_ = *std::move(socket);
+    return absl::OkStatus();
+}
+
+void engine_placement::select(forwarding::pick_request const& request, callback done)
+{
+    if (socket_ == nullptr || request.prompt == nullptr)
+    {
+        done(picker_.pick(request));
+        return;
+    }
+    auto const targets = picker_.shortlist(request, query_limit);
+    if (targets.size() < 2)
+    {
+        done(targets.empty() ? nullptr : targets.front());
+        return;
+    }
+    auto const number = next_number_;
+    next_number_ += static_cast<std::int64_t>(query_limit);
+    round started;
+    started.prompt = *request.prompt;
+    started.done = std::move(done);
+    load_message query{.kind = load_message_kind::query, .prompt = *request.prompt};
+    for (std::size_t i = 0; i < targets.size(); ++i)
+    {
+        started.candidates.push_back({targets[i], std::nullopt});
+        query.number = number + static_cast<std::int64_t>(i);
+        send(*targets[i], query);
+    }
+    started.timeout = loop_.after(query_timeout, [this, number] { finish(number); });
+    rounds_.emplace(number, std::move(started));
+}
+
+void engine_placement::receive(std::string_view data)
+{
+    auto const answer = load_message::decode(data);
+    if (!answer || answer->kind != load_message_kind::answer || answer->number < 0)
+        return;
+    auto const index = answer->number % static_cast<std::int64_t>(query_limit);
+    auto const it = rounds_.find(answer->number - index);
+    if (it == rounds_.end() || index >= static_cast<std::int64_t>(it->second.candidates.size()))
+        return;
+    auto& load = it->second.candidates[static_cast<std::size_t>(index)].load;
+    if (!load)
+        ++it->second.answers;
+    load = answer->load;
+    if (it->second.answers == it->second.candidates.size())
+        finish(it->first);
+}
+
+void engine_placement::finish(std::int64_t number)
+{
+    auto const it = rounds_.find(number);
+    if (it == rounds_.end())
+        return;
+    auto ended = std::move(it->second);
+    rounds_.erase(it);
+    ended.timeout.cancel();
+    auto best = chooser_.choose(ended.candidates, ended.prompt);
+    // The upstream may have left while its answer was awaited.
+    if (best == nullptr || !best->accepts_work())
+        best = ended.candidates.front().target;
+    ended.done(std::move(best));
+}
+
+void engine_placement::send(
+    forwarding::upstream const& target,
+    forwarding::load_message const& message)
+{
+    if (socket_ == nullptr)
+        return;
+    auto const address = socket_address::parse(
+        host_of(target.entry.address) + ":" + std::to_string(load_port_));
+    if (address.ok())
+        socket_->send(message.encode(), *address);
+}
+
+} // namespace almondcart
--- a/services/gateway/forward_session.cpp
+++ b/services/gateway/forward_session.cpp
@@ -240,15 +240,23 @@
     response_ = {};
     response_body_.clear();
     is_upstream_slowed_ = false;
-    if (refuse_if_quarantined() || !acquire_connection())
-        return;
-    send();
+    if (!refuse_if_quarantined())
+        select_upstream();
+}
+
+void forward_session::select_upstream()
+{
+    context_.placement.select(
+        {service_->name, prompt(), &tried_},
+        [self = shared_from_this()](forwarding::upstream_pointer target)
+        {
+            if (!self->is_done_ && self->acquire_connection(std::move(target)))
+                self->send();
+        });
 }
 
-bool forward_session::acquire_connection()
+bool forward_session::acquire_connection(forwarding::upstream_pointer target)
 {
-    forwarding::pick_request const request{service_->name, prompt(), &tried_};
-    auto target = context_.picker.pick(request);
     if (target == nullptr)
     {
         if (execution_ == execution_state::may_have_run)
@@ -270,7 +278,7 @@
     }
     last_upstream_ = target->entry.id;
     tried_.push_back(last_upstream_);
-    in_flight_ = context_.picker.begin(std::move(target), prompt());
+    in_flight_ = context_.picker.begin(std::move(target), request_.id, prompt());
     return true;
 }
 
--- a/services/gateway/forward_session.hpp
+++ b/services/gateway/forward_session.hpp
@@ -41,7 +41,8 @@
     void choose_service();
     bool refuse_if_quarantined();
     void attempt();
-    bool acquire_connection();
+    void select_upstream();
+    bool acquire_connection(forwarding::upstream_pointer target);
     bool refuse_if_paused();
     void send();
     std::string encode_request() const;
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -135,6 +135,7 @@
           [this] { return loop_.now(); },
           {.availability_zone = settings_.availability_zone, .seed = hash64(settings_.name)},
           directory_)
+    , placement_(loop_, picker_, metrics_, settings_.availability_zone, settings_.relay_port)
     , peers_(loop_, client_, settings_.name, metrics_, prepaid_)
     , prepaid_(
           loop_,
@@ -155,6 +156,7 @@
           nullptr,
           directory_,
           picker_,
+          placement_,
           prepaid_,
           connections_,
           crashes_,
@@ -202,6 +204,8 @@
         return status_server.status();
     status_server_ = *std::move(status_server);
     metrics_.registry().serve(*status_server_);
+    if (auto status = placement_.open(settings_.peer_listen); !status.ok())
+        return status;
     return peers_.listen(settings_.peer_listen);
 }
 
--- a/services/gateway/gateway.hpp
+++ b/services/gateway/gateway.hpp
@@ -64,6 +64,7 @@
     forwarding::upstream_directory directory_;
     forwarding::upstream_picker picker_;
     gateway_metrics metrics_;
+    engine_placement placement_;
     token_transfer_rpc peers_;
     prepaid_accounts prepaid_;
     crash_reports crashes_;
--- a/services/gateway/gateway_context.hpp
+++ b/services/gateway/gateway_context.hpp
@@ -16,6 +16,7 @@
 #include <string>
 
 #include "crash_reports.hpp"
+#include "engine_placement.hpp"
 #include "gateway_metrics.hpp"
 #include "gateway_settings.hpp"
 #include "prepaid_accounts.hpp"
@@ -41,6 +42,7 @@
     forwarding::configuration_pointer configuration; ///< null until one is loaded
     forwarding::upstream_directory& directory;
     forwarding::upstream_picker& picker;
+    engine_placement& placement;
     prepaid_accounts& prepaid;
     upstream_connections& connections;
     crash_reports& crashes;
--- a/services/relay/relay.cpp
+++ b/services/relay/relay.cpp
@@ -42,6 +42,7 @@
                else
                    spdlog::warn("[relay] store unavailable: {}", message_of(status));
            }})
+    , load_(loop_)
 {}
 
 absl::StatusOr<std::unique_ptr<relay>> relay::create(relay_settings settings)
@@ -60,7 +61,7 @@
     server_ = *std::move(server);
     metrics_.serve(*server_);
     store_.serve(*server_);
-    return absl::OkStatus();
+    return load_.open(settings_.listen);
 }
 
 void relay::run()
--- a/services/relay/relay.hpp
+++ b/services/relay/relay.hpp
@@ -9,6 +9,7 @@
 
 #include <memory>
 
+#include "load_board.hpp"
 #include "relay_settings.hpp"
 
 namespace almondcart {
@@ -33,6 +34,7 @@
     http_client client_;
     metrics metrics_;
     platform::store_relay store_;
+    load_board load_;
     std::unique_ptr<http_server> server_;
     bool is_stopping_ = false;
 };
--- a/tests/forwarding.cpp
+++ b/tests/forwarding.cpp
@@ -257,7 +257,7 @@
         auto const prompt = long_prompt(7, 1'000 + unique_part);
         auto const target = it.picker.pick({"models", &prompt, nullptr});
         used.insert(target->entry.id);
-        guards.push_back(it.picker.begin(target, &prompt));
+        guards.push_back(it.picker.begin(target, "r", &prompt));
     }
     cr_assert_geq(used.size(), 2);
 }
@@ -290,7 +290,7 @@
     it.directory.apply("i-1", engine("i-1", "a"));
     it.directory.apply("i-2", engine("i-2", "b"));
     cr_assert_eq(it.pick(nullptr), "i-2");
-    auto const first = it.picker.begin(it.directory.all().at("i-2"), nullptr);
+    auto const first = it.picker.begin(it.directory.all().at("i-2"), "r", nullptr);
     cr_assert_eq(it.pick(nullptr), "i-1");
 }
 
