--- a/libraries/forwarding/include/almondcart/forwarding/load_message.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/load_message.hpp
@@ -32,6 +32,12 @@
     prompt_info prompt;      ///< of a query and an announcement
     engine_load load;        ///< of an answer
 
+    static load_message query(std::int64_t number, prompt_info const& prompt);
+    static load_message answer(std::int64_t number, engine_load const& load);
+    static load_message announce(std::string const& request, prompt_info const& prompt);
+    static load_message prompt_read(std::string const& request);
+    static load_message end(std::string const& request);
+
     std::string encode() const;
 
     /// Returns nothing if `text` is not a valid message.
--- a/libraries/forwarding/include/almondcart/forwarding/upstream_picker.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/upstream_picker.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <almondcart/core/clock.hpp>
+#include <almondcart/forwarding/drained_zones.hpp>
 #include <almondcart/forwarding/prompt_info.hpp>
 #include <almondcart/forwarding/upstream_directory.hpp>
 #include <almondcart/forwarding/upstream_health.hpp>
@@ -57,10 +58,12 @@
 class upstream_picker
 {
 public:
+    /// All references and pointers must outlive this object.
     upstream_picker(
         clock_function clock,
         upstream_picker_settings settings,
-        upstream_directory const& directory);
+        upstream_directory const& directory,
+        drained_zones const* drained = nullptr);
 
     /// Returns the best upstream, or null if the service has none that accepts work now.
     upstream_pointer pick(pick_request const& request);
@@ -70,8 +73,15 @@
     /// with the same view do not all select one upstream.
     std::vector<upstream_pointer> shortlist(pick_request const& request, std::size_t limit);
 
-    /// Returns when the first pause ends if all upstreams of the service that accept work are
-    /// paused, or nothing if one is not.
+    /// Whether a new request may be sent to the upstream now. Blocks do not count, because they are
+    /// guesses of this gateway.
+    bool is_usable(upstream const& candidate, instant now) const;
+
+    /// Whether the service has upstreams that accept work and all of them are in drained zones.
+    bool is_drained(std::string_view service) const;
+
+    /// Returns when the first pause ends if all upstreams of the service that accept work, outside
+    /// of drained zones, are paused, or nothing if one is not.
     std::optional<instant> common_pause_end(std::string_view service) const;
 
     /// Registers a request to `target` until the returned guard is destroyed.
@@ -96,6 +106,8 @@
         std::unordered_map<std::uint64_t, instant> cached_parts; ///< last use by this gateway
     };
 
+    bool is_drained(upstream const& candidate) const;
+
     double
     cost(upstream const& candidate, upstream_state const& state, pick_request const& request);
     std::vector<upstream_pointer> available(pick_request const& request);
@@ -114,6 +126,7 @@
     clock_function clock_;
     upstream_picker_settings settings_;
     upstream_directory const& directory_;
+    drained_zones const* drained_; ///< null if there are none
     std::unordered_map<std::string, upstream_state> states_;
     std::uint64_t random_;
     engine_request_hooks hooks_;
@@ -143,7 +156,7 @@
 
     upstream_picker& picker_;
     upstream_pointer target_;
-    std::string request_;             ///< empty if the upstream is no engine
+    std::string request_; ///< empty if the upstream is no engine
     std::int64_t waiting_tokens_ = 0;
     bool is_prompt_read_ = false;
 };
--- a/libraries/forwarding/src/load_message.cpp
+++ b/libraries/forwarding/src/load_message.cpp
@@ -107,6 +107,31 @@
     return "unknown";
 }
 
+load_message load_message::query(std::int64_t number, prompt_info const& prompt)
+{
+    return {load_message_kind::query, number, {}, prompt, {}};
+}
+
+load_message load_message::answer(std::int64_t number, engine_load const& load)
+{
+    return {load_message_kind::answer, number, {}, {}, load};
+}
+
+load_message load_message::announce(std::string const& request, prompt_info const& prompt)
+{
+    return {load_message_kind::announce, 0, request, prompt, {}};
+}
+
+load_message load_message::prompt_read(std::string const& request)
+{
+    return {load_message_kind::prompt_read, 0, request, {}, {}};
+}
+
+load_message load_message::end(std::string const& request)
+{
+    return {load_message_kind::end, 0, request, {}, {}};
+}
+
 std::string load_message::encode() const
 {
     Json::Value json(Json::objectValue);
--- a/libraries/http1/include/almondcart/http1/outbound_connection.hpp
+++ b/libraries/http1/include/almondcart/http1/outbound_connection.hpp
@@ -15,6 +15,7 @@
 enum class exchange_outcome
 {
     complete,
+    withheld,      ///< `may_send` refused; no byte of the request was sent
     not_connected, ///< the connection failed before any byte of the request was sent
     not_answered,  ///< the connection was lost before the response head was complete
     broken_off,    ///< the connection was lost before the response was complete
@@ -31,6 +32,10 @@
 public:
     struct exchange_callbacks
     {
+        /// Asked before the first byte is sent if the connection is established only after the
+        /// call of `send`. If it returns false, the exchange ends as `withheld`.
+        std::function<bool()> may_send;
+
         /// Called with the response head. Returns false if the response belongs to another request;
         /// it is then discarded and the next response is awaited.
         std::function<bool(response_head const&)> on_head;
@@ -50,6 +55,14 @@
     /// Sends a complete request. The connection must be idle.
     void send(std::string_view method, std::string_view request, exchange_callbacks callbacks);
 
+    /// Sends a request whose body is not copied. `owner` keeps the body unchanged until it is sent.
+    void send(
+        std::string_view method,
+        std::string_view head,
+        std::string_view body,
+        std::shared_ptr<void const> owner,
+        exchange_callbacks callbacks);
+
     /// Stops and continues reading the response, so that the server does not send faster than the
     /// response is passed on. The next exchange reads in any case.
     void pause_reading();
--- a/libraries/http1/src/outbound_connection.cpp
+++ b/libraries/http1/src/outbound_connection.cpp
@@ -33,16 +33,30 @@
 
 std::string_view name_of(exchange_outcome outcome)
 {
-    static constexpr std::array<std::string_view, 5> names{
-        "complete", "not_connected", "not_answered", "broken_off", "malformed"};
+    static constexpr std::array<std::string_view, 6> names{
+        "complete", "withheld", "not_connected", "not_answered", "broken_off", "malformed"};
     return names.at(static_cast<std::size_t>(outcome));
 }
 
+namespace {
+
+/// Request with an optional body that is not copied.
+struct unsent_request
+{
+    std::string head; ///< the whole request if `body` is empty
+    std::string_view body;
+    std::shared_ptr<void const> owner; ///< of `body`
+};
+
+} // namespace
+
 struct outbound_connection::state : std::enable_shared_from_this<outbound_connection::state>
 {
     void open(event_loop& loop, socket_address const& address);
     void close();
-    void send(std::string_view method, std::string_view request, exchange_callbacks callbacks);
+    void begin();
+    void send(std::string_view method, unsent_request request, exchange_callbacks callbacks);
+    void write(unsent_request request);
     void receive(std::string_view data);
     bool read_head(std::string_view& data);
     bool begin_body(response_head const& head);
@@ -58,6 +72,7 @@
     std::string request_method;
     std::shared_ptr<exchange_callbacks const> hooks; ///< of the current exchange
     std::function<void()> idle_end_callback;
+    unsent_request unsent; ///< waits for the connection
     std::string incomplete_head;
     int exchange_count = 0;
     int received_heads = 0; ///< of the current exchange, with interim and rejected ones
@@ -74,24 +89,42 @@
 void outbound_connection::state::open(event_loop& loop, socket_address const& address)
 {
     byte_stream::callbacks callbacks;
-    callbacks.on_connected = [this] { is_connected = true; };
+    callbacks.on_connected = [this] { begin(); };
     callbacks.on_data = [this](std::string_view data) { receive(data); };
     callbacks.on_end = [this](close_reason reason) { on_stream_end(reason); };
     stream = byte_stream::connect(loop, address, std::move(callbacks));
 }
 
+void outbound_connection::state::begin()
+{
+    is_connected = true;
+    if (!is_active)
+        return;
+    auto const self = shared_from_this();
+    auto const number = exchange_count;
+    auto const callbacks = hooks;
+    bool const may_send = !callbacks->may_send || callbacks->may_send();
+    if (!is_current(number))
+        return;
+    if (may_send)
+        write(std::exchange(unsent, {}));
+    else
+        finish(exchange_outcome::withheld);
+}
+
 void outbound_connection::state::close()
 {
     is_open = false;
     is_active = false;
     hooks.reset();
     idle_end_callback = {};
+    unsent = {};
     stream.reset();
 }
 
 void outbound_connection::state::send(
     std::string_view method,
-    std::string_view request,
+    unsent_request request,
     exchange_callbacks callbacks)
 {
     ++exchange_count;
@@ -100,7 +133,17 @@
     is_active = true;
     is_head_accepted = false;
     decoder.reset();
-    stream->write(request);
+    if (is_connected)
+        write(std::move(request));
+    else
+        unsent = std::move(request);
+}
+
+void outbound_connection::state::write(unsent_request request)
+{
+    stream->write(request.head);
+    if (!request.body.empty())
+        stream->write_shared(request.body, std::move(request.owner));
 }
 
 void outbound_connection::state::receive(std::string_view data)
@@ -191,8 +234,9 @@
     decoder.reset();
     if (!is_head_accepted)
         return true;
-    // Bytes after the end of the response do not belong to any request.
-    if (!data.empty())
+    // Bytes after the end of the response do not belong to any request. A request that is answered
+    // before all of it was sent would be in the way of the next one, and keep its body.
+    if (!data.empty() || stream->pending_bytes() > 0)
         is_reusable = false;
     finish(exchange_outcome::complete);
     return false;
@@ -261,7 +305,17 @@
     std::string_view request,
     exchange_callbacks callbacks)
 {
-    state_->send(method, request, std::move(callbacks));
+    state_->send(method, {std::string(request), {}, nullptr}, std::move(callbacks));
+}
+
+void outbound_connection::send(
+    std::string_view method,
+    std::string_view head,
+    std::string_view body,
+    std::shared_ptr<void const> owner,
+    exchange_callbacks callbacks)
+{
+    state_->send(method, {std::string(head), body, std::move(owner)}, std::move(callbacks));
 }
 
 void outbound_connection::pause_reading()
--- a/services/gateway/engine_placement.cpp
+++ b/services/gateway/engine_placement.cpp
@@ -29,32 +29,29 @@
     event_loop& loop,
     forwarding::upstream_picker& picker,
     gateway_metrics& metrics,
-    std::string availability_zone,
-    int load_port)
+    engine_placement_settings settings)
     : loop_(loop)
     , picker_(picker)
     , metrics_(metrics)
-    , chooser_({.availability_zone = std::move(availability_zone)})
-    , load_port_(load_port)
+    , chooser_({.availability_zone = settings.availability_zone})
+    , settings_(std::move(settings))
 {
-    if (load_port_ == 0)
-        return;
     forwarding::engine_request_hooks hooks;
     hooks.on_begin = [this](
                          forwarding::upstream const& target,
                          std::string const& request,
                          forwarding::prompt_info const& prompt)
-    { send(target, {.kind = load_message_kind::announce, .request = request, .prompt = prompt}); };
+    { send(target, load_message::announce(request, prompt)); };
     hooks.on_prompt_read = [this](forwarding::upstream const& target, std::string const& request)
-    { send(target, {.kind = load_message_kind::prompt_read, .request = request}); };
+    { send(target, load_message::prompt_read(request)); };
     hooks.on_end = [this](forwarding::upstream const& target, std::string const& request)
-    { send(target, {.kind = load_message_kind::end, .request = request}); };
+    { send(target, load_message::end(request)); };
     picker_.set_hooks(std::move(hooks));
 }
 
 absl::Status engine_placement::open(std::string const& listen_address)
 {
-    if (load_port_ == 0)
+    if (settings_.load_port == 0)
         return absl::OkStatus();
     auto const address = socket_address::parse(host_of(listen_address) + ":0");
     if (!address.ok())
@@ -71,7 +68,7 @@
 
 void engine_placement::select(forwarding::pick_request const& request, callback done)
 {
-    if (socket_ == nullptr || request.prompt == nullptr)
+    if (!is_active() || request.prompt == nullptr)
     {
         done(picker_.pick(request));
         return;
@@ -85,9 +82,12 @@
     auto const number = next_number_;
     next_number_ += static_cast<std::int64_t>(query_limit);
     round started;
+    started.service = request.service;
     started.prompt = *request.prompt;
+    if (request.excluded != nullptr)
+        started.excluded = *request.excluded;
     started.done = std::move(done);
-    load_message query{.kind = load_message_kind::query, .prompt = *request.prompt};
+    auto query = load_message::query(number, *request.prompt);
     for (std::size_t i = 0; i < targets.size(); ++i)
     {
         started.candidates.push_back({targets[i], std::nullopt});
@@ -124,20 +124,31 @@
     rounds_.erase(it);
     ended.timeout.cancel();
     auto best = chooser_.choose(ended.candidates, ended.prompt);
-    // The upstream may have left while its answer was awaited.
-    if (best == nullptr || !best->accepts_work())
-        best = ended.candidates.front().target;
+    metrics_.count_load_round(best != nullptr);
+    // The upstream may have left, or its zone may have been drained, while its answer was awaited.
+    if (best == nullptr || !picker_.is_usable(*best, loop_.now()))
+        best = picker_.pick({ended.service, &ended.prompt, &ended.excluded});
     ended.done(std::move(best));
 }
 
+void engine_placement::set_gateway_count(std::size_t n)
+{
+    is_fleet_large_ = n >= static_cast<std::size_t>(settings_.min_gateways);
+}
+
+bool engine_placement::is_active() const
+{
+    return socket_ != nullptr && is_fleet_large_;
+}
+
 void engine_placement::send(
     forwarding::upstream const& target,
     forwarding::load_message const& message)
 {
-    if (socket_ == nullptr)
+    if (!is_active())
         return;
     auto const address = socket_address::parse(
-        host_of(target.entry.address) + ":" + std::to_string(load_port_));
+        host_of(target.entry.address) + ":" + std::to_string(settings_.load_port));
     if (address.ok())
         socket_->send(message.encode(), *address);
 }
--- a/services/gateway/forward_session.cpp
+++ b/services/gateway/forward_session.cpp
@@ -261,7 +261,7 @@
     {
         if (execution_ == execution_state::may_have_run)
             fail(result_code::upstream_lost, "no other upstream accepts the request");
-        else if (!refuse_if_paused())
+        else if (!refuse_if_drained() && !refuse_if_paused())
             refuse(result_code::no_upstream, "no upstream accepts requests", retry_after());
         return false;
     }
@@ -282,6 +282,21 @@
     return true;
 }
 
+bool forward_session::refuse_if_drained()
+{
+    if (!context_.picker.is_drained(service_->name))
+        return false;
+    context_.metrics.count_drain_refusal();
+    refuse(result_code::no_upstream, "all upstreams are in drained zones", retry_after());
+    return true;
+}
+
+bool forward_session::may_send() const
+{
+    // A drain may have begun since the upstream was chosen.
+    return !context_.drained.contains(in_flight_->target().entry.availability_zone);
+}
+
 bool forward_session::refuse_if_paused()
 {
     auto const end = context_.picker.common_pause_end(service_->name);
@@ -296,7 +311,7 @@
     return true;
 }
 
-std::string forward_session::encode_request() const
+std::string forward_session::encode_head() const
 {
     auto const resume_after =
         events_.last_id() ? std::to_string(*events_.last_id()) : request_.resume_after;
@@ -309,11 +324,10 @@
     context.resume_after = resume_after;
     std::string text = request_.method + " " + request_.target + " HTTP/1.1\r\n";
     http1::append_headers(text, context_.codec.encode_attempt(request_, context));
-    auto const& body = exchange_->body();
+    auto const body = exchange_->body();
     if (!body.empty() || request_.method == "POST" || request_.method == "PUT")
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     text += "\r\n";
-    text += body;
     return text;
 }
 
@@ -322,12 +336,14 @@
     ++attempts_;
     sent_at_ = context_.loop.now();
     http1::outbound_connection::exchange_callbacks callbacks;
+    callbacks.may_send = [self = shared_from_this()] { return self->may_send(); };
     callbacks.on_head = [self = shared_from_this()](http1::response_head const& head)
     { return self->on_head(head); };
     callbacks.on_body = [self = shared_from_this()](std::string_view data) { self->on_body(data); };
     callbacks.on_end = [self = shared_from_this()](exchange_outcome outcome)
     { self->on_end(outcome); };
-    connection_->send(request_.method, encode_request(), std::move(callbacks));
+    connection_->send(
+        request_.method, encode_head(), exchange_->body(), exchange_, std::move(callbacks));
     bool const may_retry = route_->is_retryable() && attempts_ < route_->attempt_limit;
     auto const response_timeout = may_retry ? time_left() / response_timeout_divisor : time_left();
     arm_response_timer(std::min(response_timeout, connect_timeout), response_timeout);
--- a/services/gateway/forward_session.hpp
+++ b/services/gateway/forward_session.hpp
@@ -43,9 +43,11 @@
     void attempt();
     void select_upstream();
     bool acquire_connection(forwarding::upstream_pointer target);
+    bool refuse_if_drained();
     bool refuse_if_paused();
+    bool may_send() const;
     void send();
-    std::string encode_request() const;
+    std::string encode_head() const;
 
     bool on_head(http1::response_head const& head);
     void record_statements();
@@ -56,6 +58,7 @@
     void on_complete_response();
     void on_stream_end();
     void on_not_executed();
+    void on_withheld();
     void report_broken_connection();
     void report_answer();
     void on_attempt_lost(http1::exchange_outcome outcome);
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -10,6 +10,7 @@
 #include <spdlog/spdlog.h>
 #include <sys/stat.h>
 
+#include <algorithm>
 #include <csignal>
 #include <set>
 #include <utility>
@@ -23,8 +24,13 @@
 /// Pause between reads of the registry, to which each upstream writes about once a second.
 constexpr duration registry_read_pause{200};
 
+/// While the store is overloaded. An entry that is not renewed lapses after about 3.6 s, so reads
+/// stay well below that.
+constexpr duration registry_max_pause{1'600};
+
 constexpr duration maintenance_interval{50};
 constexpr duration settings_check_interval{1000};
+constexpr duration fleet_check_interval{1000};
 
 constexpr int http_ok = 200;
 constexpr int http_unavailable = 503;
@@ -106,13 +112,14 @@
 
 gateway::gateway(gateway_settings settings, std::string settings_file)
     : settings_(std::move(settings))
+    , limits_(client_limits::of(settings_))
     , settings_file_(std::move(settings_file))
     , settings_modified_ns_(modification_time_ns(settings_file_))
     , client_(loop_)
     , store_paths_(store_path_settings(settings_), create_store_path_hooks(loop_))
     , store_(loop_, client_, store_paths_, settings_.store_address)
     , codec_(platform::create_exchange_codec())
-    , connections_(loop_)
+    , connections_(loop_, drained_)
     , directory_(
           [this](forwarding::upstream const& it)
           {
@@ -134,8 +141,16 @@
     , picker_(
           [this] { return loop_.now(); },
           {.availability_zone = settings_.availability_zone, .seed = hash64(settings_.name)},
-          directory_)
-    , placement_(loop_, picker_, metrics_, settings_.availability_zone, settings_.relay_port)
+          directory_,
+          &drained_)
+    , placement_(
+          loop_,
+          picker_,
+          metrics_,
+          {.availability_zone = settings_.availability_zone,
+           .load_port = settings_.load_port,
+           .min_gateways = settings_.load_query_gateways})
+    , limit_log_(metrics_)
     , peers_(loop_, client_, settings_.name, metrics_, prepaid_)
     , prepaid_(
           loop_,
@@ -155,13 +170,14 @@
           codec_,
           nullptr,
           directory_,
+          drained_,
           picker_,
           placement_,
           prepaid_,
           connections_,
           crashes_,
           metrics_,
-          std::make_shared<buffer_budget>(settings_.buffer_limit_bytes()),
+          std::make_shared<buffer_budget>(limits_.buffer_bytes, limits_.overrun_bytes),
           {},
           false,
           false,
@@ -170,7 +186,16 @@
               settings_.name,
               static_cast<std::uint64_t>(system_clock_source::wall_time_ms())))}
     , link_([this] { return loop_.now(); }, link_settings(settings_))
-{}
+    , operator_topic_(
+          loop_,
+          store_,
+          hash64(settings_.name),
+          drained_,
+          [this](std::string const& text, std::int64_t offset)
+          { apply_configuration(text, offset); })
+{
+    drained_.on_change([this](auto const& it) { on_drain_change(it); });
+}
 
 gateway::~gateway() = default;
 
@@ -193,6 +218,11 @@
         return server.status();
     server_ = *std::move(server);
     server_->set_buffer_budget(context_.buffers);
+    server_->set_connection_limit(limits_.connections);
+    server_->on_limit([this](http1::client_limit limit, std::string const& address)
+                      { limit_log_.record(limit, address); });
+    connections_.set_stream_limit(limits_.streams);
+    metrics_.set_limits(limits_.connections, limits_.streams, limits_.buffer_bytes);
     auto readiness = http_server::create(loop_, {settings_.readiness_listen});
     if (!readiness.ok())
         return readiness.status();
@@ -219,42 +249,56 @@
 void gateway::start()
 {
     spdlog::info(
-        "[gateway] started vm={} availability_zone={} listen={} up_ms={}",
+        "[gateway] started vm={} availability_zone={} listen={} up_ms={} connection_limit={} "
+        "buffer_limit_bytes={}",
         settings_.name,
         settings_.availability_zone,
         settings_.listen,
-        loop_.now().since_epoch.count());
+        loop_.now().since_epoch.count(),
+        limits_.connections,
+        limits_.buffer_bytes);
     loop_.on_stop_signal([this] { begin_stop(); });
     loop_.on_reload_signal([this] { reload(); });
-    follow_configuration();
+    operator_topic_.start();
     follow_upstreams();
     prepaid_.start();
     crashes_.start();
     loop_.every(maintenance_interval, [this] { run_maintenance(); });
     loop_.every(settings_check_interval, [this] { check_settings_file(); });
+    loop_.every(
+        fleet_check_interval, [this] { placement_.set_gateway_count(prepaid_.gateway_count()); });
 }
 
-void gateway::follow_configuration()
+void gateway::on_drain_change(forwarding::drained_zones::change const& change)
 {
-    auto hooks = topic_hooks("config");
-    auto const apply = [this](platform::keyed_record const& record)
-    {
-        if (record.key == platform::configuration_key && record.value)
-            apply_configuration(*record.value, record.offset);
-    };
-    hooks.on_snapshot = [apply](auto const& records, std::int64_t /*end*/)
+    std::size_t count = 0;
+    for (auto const& [id, it] : directory_.all())
     {
-        for (auto const& [key, record] : records)
-            apply(record);
-    };
-    hooks.on_record = apply;
-    configuration_topic_ = std::make_unique<platform::topic_follower>(
-        loop_,
-        store_,
-        platform::topic_follower_settings{
-            .topic = platform::configuration_topic, .seed = hash64(settings_.name)},
-        std::move(hooks));
-    configuration_topic_->start();
+        if (it->entry.availability_zone != change.zone)
+            continue;
+        ++count;
+        if (change.is_drained)
+            connections_.close_idle(id);
+    }
+    spdlog::info(
+        "[drain] zone={} offset={} upstreams={} {}",
+        change.zone,
+        change.offset,
+        count,
+        change.is_drained ? "drained" : "ended");
+    set_drain_gauges();
+}
+
+void gateway::set_drain_gauges()
+{
+    auto const upstreams =
+        drained_.size() == 0
+            ? 0
+            : std::ranges::count_if(
+                  directory_.all(),
+                  [this](auto const& it)
+                  { return drained_.contains(it.second->entry.availability_zone); });
+    metrics_.set_drained(drained_.size(), static_cast<std::size_t>(upstreams));
 }
 
 void gateway::apply_configuration(std::string const& text, std::int64_t offset)
@@ -331,8 +375,10 @@
         store_,
         platform::topic_follower_settings{
             .topic = platform::upstream_topic,
-            .pause = registry_read_pause,
-            .seed = hash64(settings_.name)},
+            .pacing =
+                {.pause = registry_read_pause,
+                 .max_pause = registry_max_pause,
+                 .seed = hash64(settings_.name)}},
         std::move(hooks));
     upstream_topic_->start();
 }
@@ -365,15 +411,28 @@
     prepaid_.tick();
     crashes_.tick();
     update_link_load();
+    set_drain_gauges();
     connections_.expire();
     metrics_.set_gauges(
-        server_->connection_count(), connections_.opened_count(), store_.call_count());
-    metrics_.set_buffered_bytes(context_.buffers->used_bytes());
+        server_->connection_count(),
+        connections_.opened_count(),
+        store_.call_count(),
+        store_.overloaded_count());
+    update_limits();
     metrics_.set_store_path(store_paths_.is_direct_up(), store_paths_.relay_count());
     if (context_.is_stopping)
         try_stop();
 }
 
+void gateway::update_limits()
+{
+    auto const buffered = context_.buffers->used_bytes();
+    metrics_.set_buffered_bytes(buffered);
+    metrics_.set_open_streams(http1::byte_stream::open_count());
+    limit_log_.tick(loop_.now(), server_->connection_count(), buffered);
+    heap_.tick(loop_.now(), buffered);
+}
+
 void gateway::update_link_load()
 {
     auto const& totals = http1::byte_stream::totals();
--- a/services/gateway/gateway_metrics.cpp
+++ b/services/gateway/gateway_metrics.cpp
@@ -83,7 +83,8 @@
 void gateway_metrics::set_gauges(
     std::size_t connections,
     std::size_t opened,
-    std::int64_t store_calls)
+    std::int64_t store_calls,
+    std::int64_t overloaded_store_calls)
 {
     metrics_.gauge("almondcart_client_connections", "Open client connections")
         .Set(static_cast<double>(connections));
@@ -91,6 +92,11 @@
         .Set(static_cast<double>(opened));
     metrics_.gauge("almondcart_store_calls", "Calls to the platform's store")
         .Set(static_cast<double>(store_calls));
+    metrics_
+        .gauge(
+            "almondcart_store_calls_overloaded",
+            "Calls that the platform's store turned away because it gets too many")
+        .Set(static_cast<double>(overloaded_store_calls));
 }
 
 void gateway_metrics::set_store_path(bool is_direct, std::size_t relays)
@@ -108,6 +114,37 @@
         .Set(static_cast<double>(n));
 }
 
+void gateway_metrics::set_limits(
+    std::size_t connections,
+    std::size_t streams,
+    std::size_t buffer_bytes)
+{
+    metrics_.gauge("almondcart_client_connection_limit", "Largest number of client connections")
+        .Set(static_cast<double>(connections));
+    metrics_
+        .gauge(
+            "almondcart_stream_limit", "Largest number of connections of clients and to upstreams")
+        .Set(static_cast<double>(streams));
+    metrics_.gauge("almondcart_buffer_limit_bytes", "Limit for buffered bytes")
+        .Set(static_cast<double>(buffer_bytes));
+}
+
+void gateway_metrics::set_open_streams(std::size_t n)
+{
+    metrics_.gauge("almondcart_open_streams", "Connections of clients and to upstreams")
+        .Set(static_cast<double>(n));
+}
+
+void gateway_metrics::count_client_limit(std::string_view limit)
+{
+    metrics_
+        .counter(
+            "almondcart_client_limits_total",
+            "Clients that were refused or closed because of a limit",
+            {{"limit", std::string(limit)}})
+        .Increment();
+}
+
 void gateway_metrics::count_statement(std::string_view statement)
 {
     metrics_
@@ -128,6 +165,36 @@
         .Increment();
 }
 
+void gateway_metrics::set_drained(std::size_t zones, std::size_t upstreams)
+{
+    metrics_.gauge("almondcart_drained_zones", "Availability zones that the operator has drained")
+        .Set(static_cast<double>(zones));
+    metrics_
+        .gauge(
+            "almondcart_drained_upstreams",
+            "Registered upstreams that get no requests because their zone is drained")
+        .Set(static_cast<double>(upstreams));
+}
+
+void gateway_metrics::count_drain_refusal()
+{
+    metrics_
+        .counter(
+            "almondcart_drain_refusals_total",
+            "Requests refused because all upstreams are in drained zones")
+        .Increment();
+}
+
+void gateway_metrics::count_load_round(bool is_answered)
+{
+    metrics_
+        .counter(
+            "almondcart_load_queries_total",
+            "Requests for which engines were asked for their load, by whether one answered",
+            {{"answered", is_answered ? "yes" : "no"}})
+        .Increment();
+}
+
 void gateway_metrics::set_quarantined(std::size_t features)
 {
     metrics_
--- a/services/gateway/gateway_metrics.hpp
+++ b/services/gateway/gateway_metrics.hpp
@@ -21,10 +21,19 @@
     void observe_first_byte(std::string_view kind, duration time);
     void observe_total(std::string_view kind, duration time);
     void count_transfer(std::string_view result, std::int64_t tokens);
-    void set_gauges(std::size_t connections, std::size_t opened, std::int64_t store_calls);
+    void set_gauges(
+        std::size_t connections,
+        std::size_t opened,
+        std::int64_t store_calls,
+        std::int64_t overloaded_store_calls);
     void set_store_path(bool is_direct, std::size_t relays);
 
     void set_buffered_bytes(std::size_t n);
+    void set_limits(std::size_t connections, std::size_t streams, std::size_t buffer_bytes);
+    void set_open_streams(std::size_t n);
+
+    /// Counts a client that a limit turned away.
+    void count_client_limit(std::string_view limit);
 
     /// Counts what an upstream said of itself in a response.
     void count_statement(std::string_view statement);
@@ -32,6 +41,13 @@
     /// Counts a report to the other gateways: of a crash, or of an answer to a suspected request.
     void count_crash_report(bool is_crash);
     void set_quarantined(std::size_t features);
+
+    /// Numbers of drained availability zones and of the registered upstreams in them.
+    void set_drained(std::size_t zones, std::size_t upstreams);
+
+    /// Counts a request that was refused because all upstreams are in drained zones.
+    void count_drain_refusal();
+    void count_load_round(bool is_answered);
     metrics& registry() { return metrics_; }
 
 private:
--- a/services/gateway/gateway_settings.cpp
+++ b/services/gateway/gateway_settings.cpp
@@ -11,12 +11,15 @@
 constexpr double max_grace_s = 3600;
 
 constexpr std::int64_t max_port = 65'535;
+constexpr std::int64_t max_gateways = 1'000'000;
 
 constexpr std::int64_t max_response_limit_bytes = std::int64_t{1024} * 1024 * 1024;
 
 constexpr double max_link_mbps = 1e6;
 constexpr double max_memory_mb = 1e7;
 
+constexpr std::int64_t max_descriptors_limit = 1'000'000;
+
 constexpr double bytes_per_megabyte = 1e6;
 
 /// Share of the memory for buffers, and its value if the memory is not known.
@@ -43,6 +46,9 @@
     settings.peer_listen = read_address(reader, "peer_listen");
     settings.store_address = read_address(reader, "store_address");
     settings.relay_port = static_cast<int>(reader.integer_or("relay_port", 0, max_port, 0));
+    settings.load_port = static_cast<int>(reader.integer_or("load_port", 0, max_port, 0));
+    settings.load_query_gateways = static_cast<int>(
+        reader.integer_or("load_query_gateways", 1, max_gateways, settings.load_query_gateways));
     settings.log_level = read_log_level_or(reader, "log_level", settings.log_level);
     settings.shutdown_grace =
         std::chrono::duration_cast<duration>(std::chrono::duration<double>(reader.number_or(
@@ -59,6 +65,8 @@
         static_cast<std::int64_t>(settings.response_limit_bytes)));
     settings.link_mbps = reader.number_or("link_mbps", 0, max_link_mbps, 0);
     settings.memory_mb = reader.number_or("memory_mb", 0, max_memory_mb, 0);
+    settings.max_descriptors =
+        static_cast<std::size_t>(reader.integer_or("max_descriptors", 0, max_descriptors_limit, 0));
     constexpr double percent = 100;
     constexpr std::int64_t percent_limit = 100;
     settings.retry_share = static_cast<double>(reader.integer_or(
--- a/services/gateway/upstream_connections.cpp
+++ b/services/gateway/upstream_connections.cpp
@@ -5,8 +5,11 @@
 
 namespace almondcart {
 
-upstream_connections::upstream_connections(event_loop& loop)
+upstream_connections::upstream_connections(
+    event_loop& loop,
+    forwarding::drained_zones const& drained)
     : loop_(loop)
+    , drained_(drained)
 {}
 
 std::string upstream_connections::key_of(forwarding::upstream const& target)
@@ -33,7 +36,7 @@
             return it.connection;
         }
     }
-    if (pool.active >= limit)
+    if (pool.active >= limit || !make_room())
         return nullptr;
     auto const address = socket_address::parse(target.entry.address);
     if (!address.ok())
@@ -43,13 +46,23 @@
     return std::make_shared<http1::outbound_connection>(loop_, *address);
 }
 
+bool upstream_connections::make_room()
+{
+    for (auto it = pools_.begin();
+         it != pools_.end() && http1::byte_stream::open_count() >= stream_limit_;
+         ++it)
+        it->second.idle.clear();
+    return http1::byte_stream::open_count() < stream_limit_;
+}
+
 void upstream_connections::release(
     forwarding::upstream const& target,
     connection_pointer connection)
 {
     auto& pool = pools_[key_of(target)];
     pool.active -= pool.active > 0 ? 1 : 0;
-    if (!connection->is_reusable() || !target.accepts_work())
+    if (!connection->is_reusable() || !target.accepts_work() ||
+        drained_.contains(target.entry.availability_zone))
         return;
     auto limit = idle_limit;
     // Half of the server's keep-alive time leaves a margin for a request in transit.
--- a/services/relay/load_board.cpp
+++ b/services/relay/load_board.cpp
@@ -36,11 +36,7 @@
     {
     case load_message_kind::query:
         socket_->send(
-            load_message{
-                .kind = load_message_kind::answer,
-                .number = message->number,
-                .load = queue_.load_for(message->prompt)}
-                .encode(),
+            load_message::answer(message->number, queue_.load_for(message->prompt)).encode(),
             sender);
         return;
     case load_message_kind::announce:
--- a/services/relay/relay.cpp
+++ b/services/relay/relay.cpp
@@ -61,7 +61,7 @@
     server_ = *std::move(server);
     metrics_.serve(*server_);
     store_.serve(*server_);
-    return load_.open(settings_.listen);
+    return settings_.load_listen.empty() ? absl::OkStatus() : load_.open(settings_.load_listen);
 }
 
 void relay::run()
