--- a/libraries/forwarding/include/almondcart/forwarding/upstream_picker.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/upstream_picker.hpp
@@ -46,6 +46,14 @@
 
 class in_flight_guard;
 
+/// Receives the course of requests to engines, for those who share their load.
+struct engine_request_hooks
+{
+    std::function<void(upstream const&, std::string const& request, prompt_info const&)> on_begin;
+    std::function<void(upstream const&, std::string const& request)> on_prompt_read;
+    std::function<void(upstream const&, std::string const& request)> on_end;
+};
+
 /// Selects upstreams. For engines the cost of a candidate is the uncached prompt tokens, those
 /// already queued there, the running requests and the availability zone. Requests that share a
 /// prompt prefix prefer the upstream chosen by rendezvous hashing, which all gateways compute
@@ -65,6 +73,15 @@
     /// Returns the best upstream, or null if the service has none that accepts work now.
     upstream_pointer pick(pick_request const& request);
 
+    /// Returns up to `limit` upstreams among which the best is likely to be: the one that `pick`
+    /// would return, those that may have cached the prompt, and others at random, so that gateways
+    /// with the same view do not all select one upstream.
+    std::vector<upstream_pointer> shortlist(pick_request const& request, std::size_t limit);
+
+    /// Whether a new request may be sent to the upstream now. Blocks do not count, because they are
+    /// guesses of this gateway.
+    bool is_usable(upstream const& candidate, instant now) const;
+
     /// Whether the service has upstreams that accept work and all of them are in drained zones.
     bool is_drained(std::string_view service) const;
 
@@ -73,7 +90,10 @@
     std::optional<instant> common_pause_end(std::string_view service) const;
 
     /// Registers a request to `target` until the returned guard is destroyed.
-    std::unique_ptr<in_flight_guard> begin(upstream_pointer target, prompt_info const* prompt);
+    std::unique_ptr<in_flight_guard>
+    begin(upstream_pointer target, std::string const& request, prompt_info const* prompt);
+
+    void set_hooks(engine_request_hooks hooks) { hooks_ = std::move(hooks); }
 
     void record(upstream const& target, attempt_result result);
 
@@ -91,14 +111,15 @@
         std::unordered_map<std::uint64_t, instant> cached_parts; ///< last use by this gateway
     };
 
-    /// Whether a new request may be sent to the upstream now. Blocks do not count, because they are
-    /// guesses of this gateway.
-    bool is_usable(upstream const& candidate, instant now) const;
     bool is_cold(upstream const& candidate) const;
     bool is_drained(upstream const& candidate) const;
 
     double
     cost(upstream const& candidate, upstream_state const& state, pick_request const& request);
+    std::vector<upstream_pointer> available(pick_request const& request);
+    upstream_pointer
+    cheapest(std::vector<upstream_pointer> const& candidates, pick_request const& request);
+    std::uint64_t next_random();
     std::int64_t uncached_tokens(
         upstream_state const& state,
         prompt_info const& prompt,
@@ -115,13 +136,18 @@
     cold_start_limiter* cold_starts_; ///< null if nothing is limited
     std::unordered_map<std::string, upstream_state> states_;
     std::uint64_t random_;
+    engine_request_hooks hooks_;
 };
 
 /// Counts one request of this gateway as load of its upstream until it is destroyed.
 class in_flight_guard
 {
 public:
-    in_flight_guard(upstream_picker& picker, upstream_pointer target, prompt_info const* prompt);
+    in_flight_guard(
+        upstream_picker& picker,
+        upstream_pointer target,
+        std::string const& request,
+        prompt_info const* prompt);
     ~in_flight_guard();
     in_flight_guard(in_flight_guard const&) = delete;
     in_flight_guard& operator=(in_flight_guard const&) = delete;
@@ -133,9 +159,13 @@
     upstream_pointer const& pointer() const { return target_; }
 
 private:
+    void release_waiting_tokens();
+
     upstream_picker& picker_;
     upstream_pointer target_;
+    std::string request_; ///< empty if the upstream is no engine
     std::int64_t waiting_tokens_ = 0;
+    bool is_prompt_read_ = false;
 };
 
 } // namespace almondcart::forwarding
--- a/services/gateway/forward_session.cpp
+++ b/services/gateway/forward_session.cpp
@@ -240,15 +240,23 @@
     response_ = {};
     response_body_.clear();
     is_upstream_slowed_ = false;
-    if (refuse_if_quarantined() || !acquire_connection())
-        return;
-    send();
+    if (!refuse_if_quarantined())
+        select_upstream();
+}
+
+void forward_session::select_upstream()
+{
+    context_.placement.select(
+        {service_->name, prompt(), &tried_},
+        [self = shared_from_this()](forwarding::upstream_pointer target)
+        {
+            if (!self->is_done_ && self->acquire_connection(self->reserve_send(std::move(target))))
+                self->send();
+        });
 }
 
-forwarding::upstream_pointer forward_session::choose_upstream()
+forwarding::upstream_pointer forward_session::reserve_send(forwarding::upstream_pointer target)
 {
-    forwarding::pick_request const request{service_->name, prompt(), &tried_};
-    auto target = context_.picker.pick(request);
     while (target != nullptr)
     {
         if (auto permit = context_.cold_starts.try_reserve(target))
@@ -257,14 +265,13 @@
             return target;
         }
         tried_.push_back(target->entry.id);
-        target = context_.picker.pick(request);
+        target = context_.picker.pick({service_->name, prompt(), &tried_});
     }
     return nullptr;
 }
 
-bool forward_session::acquire_connection()
+bool forward_session::acquire_connection(forwarding::upstream_pointer target)
 {
-    auto target = choose_upstream();
     if (target == nullptr)
     {
         if (execution_ == execution_state::may_have_run)
@@ -286,7 +293,7 @@
     }
     last_upstream_ = target->entry.id;
     tried_.push_back(last_upstream_);
-    in_flight_ = context_.picker.begin(std::move(target), prompt());
+    in_flight_ = context_.picker.begin(std::move(target), request_.id, prompt());
     return true;
 }
 
--- a/services/gateway/forward_session.hpp
+++ b/services/gateway/forward_session.hpp
@@ -41,10 +41,12 @@
     void choose_service();
     bool refuse_if_quarantined();
     void attempt();
-    bool acquire_connection();
+    void select_upstream();
+    bool acquire_connection(forwarding::upstream_pointer target);
     bool refuse_if_drained();
     bool refuse_if_paused();
-    forwarding::upstream_pointer choose_upstream();
+    /// Takes a permit to send to `target`, or to another upstream if it may get no more now.
+    forwarding::upstream_pointer reserve_send(forwarding::upstream_pointer target);
     bool may_send();
     void send();
     std::string encode_head() const;
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -31,6 +31,7 @@
 constexpr duration maintenance_interval{50};
 constexpr duration settings_check_interval{1000};
 constexpr duration cold_check_interval{250};
+constexpr duration fleet_check_interval{1000};
 
 constexpr int http_ok = 200;
 constexpr int http_unavailable = 503;
@@ -147,6 +148,13 @@
           directory_,
           &drained_,
           &cold_starts_)
+    , placement_(
+          loop_,
+          picker_,
+          metrics_,
+          {.availability_zone = settings_.availability_zone,
+           .load_port = settings_.load_port,
+           .min_gateways = settings_.load_query_gateways})
     , limit_log_(metrics_)
     , peers_(loop_, client_, settings_.name, metrics_, prepaid_)
     , prepaid_(
@@ -170,6 +178,7 @@
           drained_,
           cold_starts_,
           picker_,
+          placement_,
           prepaid_,
           connections_,
           crashes_,
@@ -231,6 +240,8 @@
         return status_server.status();
     status_server_ = *std::move(status_server);
     metrics_.registry().serve(*status_server_);
+    if (auto status = placement_.open(settings_.peer_listen); !status.ok())
+        return status;
     return peers_.listen(settings_.peer_listen);
 }
 
@@ -261,6 +272,8 @@
     crashes_.start();
     loop_.every(maintenance_interval, [this] { run_maintenance(); });
     loop_.every(settings_check_interval, [this] { check_settings_file(); });
+    loop_.every(
+        fleet_check_interval, [this] { placement_.set_gateway_count(prepaid_.gateway_count()); });
 }
 
 void gateway::on_drain_change(forwarding::drained_zones::change const& change)
--- a/services/gateway/gateway.hpp
+++ b/services/gateway/gateway.hpp
@@ -77,6 +77,7 @@
     forwarding::cold_start_limiter cold_starts_;
     forwarding::upstream_picker picker_;
     gateway_metrics metrics_;
+    engine_placement placement_;
     client_limit_log limit_log_;
     heap_release heap_;
     token_transfer_rpc peers_;
--- a/services/gateway/gateway_context.hpp
+++ b/services/gateway/gateway_context.hpp
@@ -16,6 +16,7 @@
 #include <string>
 
 #include "crash_reports.hpp"
+#include "engine_placement.hpp"
 #include "gateway_metrics.hpp"
 #include "gateway_settings.hpp"
 #include "prepaid_accounts.hpp"
@@ -43,6 +44,7 @@
     forwarding::drained_zones& drained;
     forwarding::cold_start_limiter& cold_starts;
     forwarding::upstream_picker& picker;
+    engine_placement& placement;
     prepaid_accounts& prepaid;
     upstream_connections& connections;
     crash_reports& crashes;
--- a/services/gateway/gateway_metrics.cpp
+++ b/services/gateway/gateway_metrics.cpp
@@ -201,6 +201,16 @@
         .Increment();
 }
 
+void gateway_metrics::count_load_round(bool is_answered)
+{
+    metrics_
+        .counter(
+            "almondcart_load_queries_total",
+            "Requests for which engines were asked for their load, by whether one answered",
+            {{"answered", is_answered ? "yes" : "no"}})
+        .Increment();
+}
+
 void gateway_metrics::set_quarantined(std::size_t features)
 {
     metrics_
--- a/services/gateway/gateway_metrics.hpp
+++ b/services/gateway/gateway_metrics.hpp
@@ -52,6 +52,9 @@
     /// `kept_away` is the number of times since the start that a request was kept away from a cold
     /// upstream.
     void set_cold_starts(std::size_t upstreams, std::int64_t kept_away, std::size_t gateways);
+
+    /// Counts a request for which engines were asked for their load.
+    void count_load_round(bool is_answered);
     metrics& registry() { return metrics_; }
 
 private:
--- a/services/gateway/gateway_settings.cpp
+++ b/services/gateway/gateway_settings.cpp
@@ -11,6 +11,7 @@
 constexpr double max_grace_s = 3600;
 
 constexpr std::int64_t max_port = 65'535;
+constexpr std::int64_t max_gateways = 1'000'000;
 
 constexpr std::int64_t max_response_limit_bytes = std::int64_t{1024} * 1024 * 1024;
 
@@ -45,6 +46,9 @@
     settings.peer_listen = read_address(reader, "peer_listen");
     settings.store_address = read_address(reader, "store_address");
     settings.relay_port = static_cast<int>(reader.integer_or("relay_port", 0, max_port, 0));
+    settings.load_port = static_cast<int>(reader.integer_or("load_port", 0, max_port, 0));
+    settings.load_query_gateways = static_cast<int>(
+        reader.integer_or("load_query_gateways", 1, max_gateways, settings.load_query_gateways));
     settings.log_level = read_log_level_or(reader, "log_level", settings.log_level);
     settings.shutdown_grace =
         std::chrono::duration_cast<duration>(std::chrono::duration<double>(reader.number_or(
--- a/services/relay/relay_settings.cpp
+++ b/services/relay/relay_settings.cpp
@@ -15,6 +15,8 @@
     settings.name = read_name(reader, "name");
     settings.listen = read_address(reader, "listen");
     settings.store_address = read_address(reader, "store_address");
+    if (reader.has("load_listen"))
+        settings.load_listen = read_address(reader, "load_listen");
     settings.log_level = read_log_level_or(reader, "log_level", settings.log_level);
     if (auto status = reader.finish(); !status.ok())
         return status;
--- a/services/relay/relay_settings.hpp
+++ b/services/relay/relay_settings.hpp
@@ -12,6 +12,7 @@
     std::string name;          ///< of the VM
     std::string listen;        ///< "ip:port" for gateways and metrics
     std::string store_address; ///< "ip:port" of the platform's store
+    std::string load_listen;   ///< "ip:port" for datagrams about the engine's load; empty: none
     std::string log_level = "info";
 
     /// Errors have the code `invalid_settings` and name the file, the member and the expected
