Http: Bound what clients of relay, router and agent may hold

h2o reads each body in full into the input buffer of its connection before a handler is called, and limits neither the sum of these nor the number of connections. 300 connections with 900 kB of body each took a relay, a router and an agent to 290 to 298 MB where the body stopped short, to 114 to 172 MB with whole ones, and to 137 to 149 MB with chunks of one byte; 312 to 317 descriptors were open.

connection_limiter is one account of bytes and connections for all servers of a process. inbound_connection puts a callback of its own before h2o's read callback, so that the capacity of the input buffer is entered before h2o parses. Beyond a limit the connection with most bytes times age is closed, with 503 if it was sending a request. Requests received in full that do not fit are refused with 503 and Retry-After; those being handled are never closed. Silence of 20 s within a request or response ends a connection. Receive buffers are small, and large input buffers are not kept for the next request. What h2o has written of a response is freed at once.

The relay takes bodies of up to 4 MiB (8 before), which is the largest body of a caller's request.

--- a/libraries/http/include/almondcart/http/http_server.hpp
+++ b/libraries/http/include/almondcart/http/http_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <almondcart/http/connection_limiter.hpp>
 #include <almondcart/http/event_loop.hpp>
 #include <almondcart/http/http_exchange.hpp>
 
@@ -20,6 +21,10 @@
     std::string address; ///< "ip:port"; port 0 selects a free port
     std::size_t body_limit =
         std::size_t{8} * 1024 * 1024; ///< bytes; larger requests get status 413
+
+    /// What clients may hold, shared by the servers of a process; null: an account of this server
+    /// alone with the default limits.
+    std::shared_ptr<connection_limiter> limiter = nullptr;
 };
 
 /// HTTP/1.1 server on an event loop.
--- a/libraries/http/include/almondcart/http/metrics.hpp
+++ b/libraries/http/include/almondcart/http/metrics.hpp
@@ -33,6 +33,9 @@
         prometheus::Histogram::BucketBoundaries const& bounds,
         prometheus::Labels const& labels = {});
 
+    /// Adds what clients hold and which of their limits were met.
+    void watch(std::shared_ptr<connection_limiter> limiter);
+
     std::string to_text() const;
 
     /// Serves `GET /metrics`. This object must outlive the server.
@@ -40,6 +43,9 @@
 
 private:
     std::shared_ptr<prometheus::Registry> registry_;
+    std::shared_ptr<connection_limiter> limiter_;
+    prometheus::Gauge* connections_ = nullptr;
+    prometheus::Gauge* held_bytes_ = nullptr;
 };
 
 } // namespace almondcart
--- a/libraries/http/src/exchange_link.cpp
+++ b/libraries/http/src/exchange_link.cpp
@@ -5,6 +5,7 @@
 #include <new>
 #include <utility>
 
+#include "inbound_connection.hpp"
 #include "server_core.hpp"
 
 namespace almondcart::detail {
@@ -48,20 +49,29 @@
     {
         auto& link = link_from_generator(self);
         link.is_sending = false;
+        // Assigning an empty string would keep the memory.
+        std::string().swap(link.in_flight);
+        // Copied, because the link may be destroyed by what follows.
+        auto const connection = link.connection;
         if (auto const exchange = link.exchange.lock())
             exchange->proceed();
+        connection->note_progress();
     };
     link->generator.stop = [](h2o_generator_t*, h2o_req_t*) {};
     link->request = request;
     link->core = std::move(core);
     link->exchange = exchange;
-    link->fd = h2o_socket_get_fd(request->conn->callbacks->get_socket(request->conn));
+    auto* const socket = request->conn->callbacks->get_socket(request->conn);
+    link->fd = h2o_socket_get_fd(socket);
     link->core->add(*link);
+    link->connection = inbound_connection::of(socket).shared_from_this();
+    link->connection->set_link(link);
     return *link;
 }
 
 exchange_link::~exchange_link()
 {
+    connection->set_link(nullptr);
     core->remove(*this);
     if (auto const it = exchange.lock())
         it->detach();
@@ -86,7 +96,23 @@
     if (!h2o_send_state_is_in_progress(state) && core->is_stopping())
         request->http1_is_persistent = 0;
     auto buf = h2o_iovec_init(in_flight.data(), in_flight.size());
+    // Copied, because h2o destroys the link at once if nothing is left to be written.
+    auto const protector = connection;
     h2o_send(request, &buf, in_flight.empty() ? 0 : 1, state);
+    protector->update_and_enforce();
+}
+
+std::size_t exchange_link::held_bytes() const
+{
+    auto const it = exchange.lock();
+    auto const queued = it == nullptr ? 0 : it->queue_.capacity();
+    return copied_bytes + queued + in_flight.capacity();
+}
+
+bool exchange_link::is_awaiting_client() const
+{
+    auto const it = exchange.lock();
+    return it != nullptr && it->is_started() && it->pending_bytes() > 0;
 }
 
 void exchange_link::close() const
--- a/libraries/http/src/exchange_link.hpp
+++ b/libraries/http/src/exchange_link.hpp
@@ -10,6 +10,7 @@
 
 namespace almondcart::detail {
 
+class inbound_connection;
 class server_core;
 
 /// Links an h2o request to its exchange. Allocated in the memory pool of the request, so it is
@@ -25,6 +26,8 @@
     bool is_sending;
     int fd;
     std::uint64_t id;
+    std::shared_ptr<inbound_connection> connection;
+    std::size_t copied_bytes; ///< of the request's body
 
     static exchange_link& create(
         h2o_req_t* request,
@@ -34,6 +37,12 @@
     void begin(int status, http_headers const& headers, std::size_t content_length);
     void send(h2o_send_state_t state);
 
+    /// Bytes of the request's body and of the response that this process holds.
+    std::size_t held_bytes() const;
+
+    /// Whether a part of the response waits until the client takes it.
+    bool is_awaiting_client() const;
+
     /// Closes the connection.
     void close() const;
 
--- a/libraries/http/src/http_exchange.cpp
+++ b/libraries/http/src/http_exchange.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "exchange_link.hpp"
+#include "inbound_connection.hpp"
 #include "server_core.hpp"
 
 namespace almondcart {
@@ -109,6 +110,8 @@
         return;
     queue_ += data;
     flush();
+    if (link_ != nullptr)
+        link_->connection->update_and_enforce();
 }
 
 void http_exchange::finish()
--- a/libraries/http/src/metrics.cpp
+++ b/libraries/http/src/metrics.cpp
@@ -2,6 +2,9 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <array>
+#include <utility>
+
 namespace almondcart {
 
 metrics::metrics()
@@ -33,8 +36,30 @@
         .Add(labels, bounds);
 }
 
+void metrics::watch(std::shared_ptr<connection_limiter> limiter)
+{
+    limiter_ = std::move(limiter);
+    connections_ = &gauge("almondcart_client_connections", "Open connections of clients");
+    held_bytes_ = &gauge("almondcart_client_bytes", "Bytes that connections of clients hold");
+    std::array<prometheus::Counter*, connection_limit_count> counters{};
+    for (std::size_t i = 0; i < counters.size(); ++i)
+        counters.at(i) = &counter(
+            "almondcart_clients_limited_total",
+            "Connections closed and requests refused by the limit that was met",
+            {{"limit", std::string(name_of(static_cast<connection_limit>(i)))}});
+    // The registry is kept, because servers may close connections after this object's end.
+    limiter_->set_hooks(
+        {.on_limited = [registry = registry_, counters](connection_limit limit, std::string const&)
+         { counters.at(static_cast<std::size_t>(limit))->Increment(); }});
+}
+
 std::string metrics::to_text() const
 {
+    if (limiter_ != nullptr)
+    {
+        connections_->Set(static_cast<double>(limiter_->connection_count()));
+        held_bytes_->Set(static_cast<double>(limiter_->used_bytes()));
+    }
     return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
 
--- a/libraries/http/src/server_core.cpp
+++ b/libraries/http/src/server_core.cpp
@@ -1,5 +1,6 @@
 #include "server_core.hpp"
 
+#include <almondcart/core/clock.hpp>
 #include <almondcart/core/status.hpp>
 
 #include <h2o/http1.h>
@@ -13,6 +14,7 @@
 #include <utility>
 
 #include "exchange_link.hpp"
+#include "inbound_connection.hpp"
 
 namespace almondcart::detail {
 
@@ -26,6 +28,18 @@
 /// sends a request on a connection that the server is closing.
 constexpr std::uint64_t request_timeout_ms = 60'000;
 
+/// Receive buffer of a connection, which the kernel doubles. What it holds counts towards the
+/// memory of the process, and it bounds what one round of reads can add before limits are enforced.
+constexpr int receive_buffer_bytes = 32 * 1024;
+
+constexpr duration progress_check_interval{1'000};
+
+/// Pause until h2o is looked at again that has not yet resumed to read from a connection.
+constexpr duration watch_retry_interval{5};
+
+/// Copies of a body while it is handled: in the exchange, and in what the handler makes of it.
+constexpr std::size_t body_copies = 2;
+
 /// Content type and body of the response to an oversized body, which h2o refuses before a handler
 /// is called. Like other refusals it carries a numbered code.
 constexpr std::string_view problem_type = "application/problem+json";
@@ -34,6 +48,11 @@
     R"("detail":"the body exceeds the limit of this server","code":1102,"name":"body_too_large",)"
     R"("ran":"no"})";
 
+constexpr std::string_view overloaded =
+    R"({"type":"urn:almondcart:overloaded","title":"overloaded","status":503,)"
+    R"("detail":"the server holds too many requests","code":1301,"name":"overloaded",)"
+    R"("ran":"no"})";
+
 bool matches_prefix(std::string_view path, std::string_view prefix)
 {
     if (!path.starts_with(prefix))
@@ -85,6 +104,9 @@
     , settings_(std::move(settings))
     , address_(address)
 {
+    if (settings_.limiter == nullptr)
+        settings_.limiter = std::make_shared<connection_limiter>(
+            connection_limits(), system_clock_source::create());
     h2o_config_init(&configuration_);
     configuration_.server_name = h2o_iovec_init("almondcart", std::strlen("almondcart"));
     configuration_.max_request_entity_size = settings_.body_limit;
@@ -109,10 +131,12 @@
     accept_context_.hosts = configuration_.hosts;
     disconnect_fd_ = epoll_create1(EPOLL_CLOEXEC);
     disconnect_watch_ = loop_.watch(disconnect_fd_, [this] { handle_disconnects(); });
+    progress_timer_ = loop_.every(progress_check_interval, [this] { check_progress(); });
 }
 
 server_core::~server_core()
 {
+    progress_timer_.cancel();
     close_listener();
     loop_.unwatch(disconnect_watch_);
     h2o_context_dispose(&context_);
@@ -134,6 +158,7 @@
         return error("socket");
     int const enabled = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof(enabled));
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer_bytes, sizeof(receive_buffer_bytes));
     if (bind(fd, address_.native(), address_.size()) != 0)
     {
         auto status = error("bind");
@@ -168,18 +193,8 @@
         if (socket == nullptr)
             return;
         connections_.insert(socket);
-        struct close_data
-        {
-            std::shared_ptr<server_core> core;
-            h2o_socket_t* socket;
-        };
-        socket->on_close.data = new close_data{shared_from_this(), socket};
-        socket->on_close.cb = [](void* data)
-        {
-            std::unique_ptr<close_data> const closed(static_cast<close_data*>(data));
-            closed->core->remove_connection(closed->socket);
-        };
         h2o_accept(&accept_context_, socket);
+        inbound_connection::add(shared_from_this(), socket);
     }
 }
 
@@ -190,6 +205,50 @@
         loop_.release(this);
 }
 
+void server_core::watch_reads_later(std::weak_ptr<inbound_connection> connection)
+{
+    if (unwatched_.empty())
+        loop_.post(
+            [weak = weak_from_this()]
+            {
+                if (auto const self = weak.lock())
+                    self->watch_reads();
+            });
+    unwatched_.push_back(std::move(connection));
+}
+
+void server_core::watch_reads()
+{
+    auto connections = std::exchange(unwatched_, {});
+    std::erase_if(
+        connections,
+        [](auto const& it)
+        {
+            auto const connection = it.lock();
+            return connection == nullptr || connection->watch_reads();
+        });
+    if (connections.empty())
+        return;
+    unwatched_ = std::move(connections);
+    loop_.after(
+        watch_retry_interval,
+        [weak = weak_from_this()]
+        {
+            if (auto const self = weak.lock())
+                self->watch_reads();
+        });
+}
+
+void server_core::check_progress()
+{
+    auto const protector = shared_from_this();
+    std::vector<std::shared_ptr<inbound_connection>> connections;
+    for (auto* const socket : connections_)
+        connections.push_back(inbound_connection::of(socket).shared_from_this());
+    for (auto const& it : connections)
+        it->check_progress();
+}
+
 void server_core::handle_request(h2o_req_t* request)
 {
     std::shared_ptr<http_exchange> const exchange(new http_exchange);
@@ -199,14 +258,30 @@
     exchange->path_ = target.substr(0, question_mark);
     if (question_mark != std::string::npos)
         exchange->query_ = target.substr(question_mark + 1);
-    exchange->body_ = to_string(request->entity);
+    auto* const socket = request->conn->callbacks->get_socket(request->conn);
+    auto& connection = inbound_connection::of(socket);
+    auto const copied_bytes = body_copies * request->entity.len;
+    bool const is_allowed = connection.allows_handling(copied_bytes);
+    if (is_allowed)
+        exchange->body_ = to_string(request->entity);
     for (std::size_t i = 0; i < request->headers.size; ++i)
     {
         auto const& header = request->headers.entries[i];
         exchange->headers_.emplace_back(to_string(*header.name), to_string(header.value));
     }
     exchange->link_ = &exchange_link::create(request, shared_from_this(), exchange);
-    dispatch(exchange);
+    if (is_allowed)
+    {
+        exchange->link_->copied_bytes = copied_bytes;
+        connection.update_and_enforce();
+        dispatch(exchange);
+        return;
+    }
+    request->http1_is_persistent = 0;
+    exchange->respond(
+        503,
+        {{"content-type", std::string(problem_type)}, {"retry-after", "1"}},
+        std::string(overloaded));
 }
 
 void server_core::dispatch(std::shared_ptr<http_exchange> const& exchange)
--- a/libraries/http/src/server_core.hpp
+++ b/libraries/http/src/server_core.hpp
@@ -15,6 +15,7 @@
 
 namespace almondcart::detail {
 
+class inbound_connection;
 struct exchange_link;
 
 /// Implementation of an `http_server`. Outlives it until h2o has released all connections.
@@ -37,6 +38,13 @@
     void add_route(std::string method, std::string prefix, http_server::handler handle);
     void add(exchange_link& link);
     void remove(exchange_link const& link);
+    void remove_connection(h2o_socket_t* socket);
+
+    /// Lets the connection replace h2o's read callback once h2o has set it, at the latest after a
+    /// few milliseconds.
+    void watch_reads_later(std::weak_ptr<inbound_connection> connection);
+
+    std::shared_ptr<connection_limiter> const& limiter() const { return settings_.limiter; }
 
     event_loop& loop() const { return loop_; }
     bool is_stopping() const { return is_stopping_; }
@@ -62,7 +70,8 @@
     void handle_request(h2o_req_t* request);
     void dispatch(std::shared_ptr<http_exchange> const& exchange);
     void handle_disconnects();
-    void remove_connection(h2o_socket_t* socket);
+    void watch_reads();
+    void check_progress();
     void check_stopped();
 
     event_loop& loop_;
@@ -77,6 +86,8 @@
     h2o_socket_t* disconnect_watch_ = nullptr;
     std::vector<route_entry> routes_;
     std::set<h2o_socket_t*> connections_;
+    std::vector<std::weak_ptr<inbound_connection>> unwatched_;
+    timer progress_timer_;
     std::map<std::uint64_t, exchange_link*> links_;
     std::uint64_t next_link_id_ = 1;
     bool is_stopping_ = false;
--- a/services/agent/agent.cpp
+++ b/services/agent/agent.cpp
@@ -32,11 +32,15 @@
 absl::StatusOr<std::unique_ptr<agent>> agent::create(agent_settings settings)
 {
     auto loop = std::make_unique<event_loop>();
-    auto server = http_server::create(*loop, {.address = settings.listen});
+    auto const limiter = std::make_shared<connection_limiter>(
+        connection_limits::derive(settings.memory_mb, settings.max_descriptors),
+        system_clock_source::create());
+    auto server = http_server::create(*loop, {.address = settings.listen, .limiter = limiter});
     if (!server.ok())
         return server.status();
     std::unique_ptr<agent> process(new agent(std::move(settings), std::move(loop)));
     process->server_ = *std::move(server);
+    process->metrics_.watch(limiter);
     process->bind_endpoints();
     process->start_timers();
     return process;
--- a/services/agent/agent_settings.cpp
+++ b/services/agent/agent_settings.cpp
@@ -10,6 +10,8 @@
 constexpr std::int64_t slot_limit = 4096;
 constexpr std::int64_t byte_limit = 1'073'741'824;
 constexpr std::int64_t item_limit = 1'000'000;
+constexpr double memory_limit_mb = 1e7;
+constexpr std::int64_t descriptor_limit = 10'000'000;
 
 upstream_kind read_kind(json_reader& reader)
 {
@@ -35,6 +37,9 @@
     it.first_byte_timeout = reader.milliseconds_or("first_byte_timeout_ms", it.first_byte_timeout);
     it.idle_timeout = reader.milliseconds_or("idle_timeout_ms", it.idle_timeout);
     it.probe_interval = reader.milliseconds_or("probe_interval_ms", it.probe_interval);
+    it.memory_mb = reader.number_or("memory_mb", 0, memory_limit_mb, it.memory_mb);
+    it.max_descriptors =
+        reader.integer_or("max_descriptors", 0, descriptor_limit, it.max_descriptors);
     it.shutdown_timeout = reader.milliseconds_or("shutdown_timeout_ms", it.shutdown_timeout);
 }
 
--- a/services/agent/agent_settings.hpp
+++ b/services/agent/agent_settings.hpp
@@ -29,6 +29,8 @@
     bool does_upstream_check_fencing = false;
     std::vector<std::string> routers; ///< peer addresses
     std::string log_level = "info";
+    double memory_mb = 0;             ///< that the process may use; 0: not known
+    std::int64_t max_descriptors = 0; ///< that the process may open; 0: its resource limit
 
     int slots = 8;                              ///< requests that run concurrently
     std::int64_t output_limit_bytes = 33554432; ///< retained output of all requests
--- a/services/relay/relay.cpp
+++ b/services/relay/relay.cpp
@@ -1,5 +1,6 @@
 #include "relay.hpp"
 
+#include <almondcart/core/clock.hpp>
 #include <almondcart/core/logging.hpp>
 #include <almondcart/core/status.hpp>
 
@@ -13,6 +14,10 @@
 
 constexpr duration log_flush_interval{500};
 
+/// Largest call of a gateway, which is also the largest body of a caller's request. Appends are far
+/// below it.
+constexpr std::size_t body_limit_bytes = std::size_t{4} * 1024 * 1024;
+
 /// Longest time that a stopping process waits for its calls, which is below the usual grace time.
 constexpr duration stop_timeout{5'000};
 
@@ -41,7 +46,8 @@
                    spdlog::info("[relay] store available again");
                else
                    spdlog::warn("[relay] store unavailable: {}", message_of(status));
-           }})
+           }},
+          settings_.memory_mb)
 {}
 
 absl::StatusOr<std::unique_ptr<relay>> relay::create(relay_settings settings)
@@ -54,7 +60,11 @@
 
 absl::Status relay::listen()
 {
-    auto server = http_server::create(loop_, {settings_.listen});
+    auto const limiter = std::make_shared<connection_limiter>(
+        connection_limits::derive(settings_.memory_mb, settings_.max_descriptors),
+        system_clock_source::create());
+    metrics_.watch(limiter);
+    auto server = http_server::create(loop_, {settings_.listen, body_limit_bytes, limiter});
     if (!server.ok())
         return server.status();
     server_ = *std::move(server);
--- a/services/relay/relay_settings.cpp
+++ b/services/relay/relay_settings.cpp
@@ -5,6 +5,13 @@
 
 namespace almondcart {
 
+namespace {
+
+constexpr double memory_limit_mb = 1e7;
+constexpr std::int64_t descriptor_limit = 10'000'000;
+
+} // namespace
+
 absl::StatusOr<relay_settings> relay_settings::load(std::string const& file)
 {
     auto const value = read_settings_file(file);
@@ -16,6 +23,9 @@
     settings.listen = read_address(reader, "listen");
     settings.store_address = read_address(reader, "store_address");
     settings.log_level = read_log_level_or(reader, "log_level", settings.log_level);
+    settings.memory_mb = reader.number_or("memory_mb", 0, memory_limit_mb, settings.memory_mb);
+    settings.max_descriptors =
+        reader.integer_or("max_descriptors", 0, descriptor_limit, settings.max_descriptors);
     if (auto status = reader.finish(); !status.ok())
         return status;
     return settings;
--- a/services/relay/relay_settings.hpp
+++ b/services/relay/relay_settings.hpp
@@ -2,6 +2,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <cstdint>
 #include <string>
 
 namespace almondcart {
@@ -13,6 +14,8 @@
     std::string listen;        ///< "ip:port" for gateways and metrics
     std::string store_address; ///< "ip:port" of the platform's store
     std::string log_level = "info";
+    double memory_mb = 0;             ///< that the process may use; 0: not known
+    std::int64_t max_descriptors = 0; ///< that the process may open; 0: its resource limit
 
     /// Errors have the code `invalid_settings` and name the file, the member and the expected
     /// value.
--- a/services/router/router.cpp
+++ b/services/router/router.cpp
@@ -29,18 +29,24 @@
 absl::StatusOr<std::unique_ptr<router>> router::create(router_settings settings)
 {
     auto loop = std::make_unique<event_loop>();
+    auto const limiter = std::make_shared<connection_limiter>(
+        connection_limits::derive(settings.memory_mb, settings.max_descriptors),
+        system_clock_source::create());
     auto request_server = http_server::create(
-        *loop, {settings.listen, static_cast<std::size_t>(settings.body_limit_bytes)});
+        *loop, {settings.listen, static_cast<std::size_t>(settings.body_limit_bytes), limiter});
     if (!request_server.ok())
         return request_server.status();
-    auto control_server = http_server::create(*loop, {settings.peer_listen});
+    auto control_server =
+        http_server::create(*loop, {.address = settings.peer_listen, .limiter = limiter});
     if (!control_server.ok())
         return control_server.status();
-    return std::unique_ptr<router>(new router(
+    std::unique_ptr<router> process(new router(
         std::move(settings),
         std::move(loop),
         *std::move(request_server),
         *std::move(control_server)));
+    process->metrics_.watch(limiter);
+    return process;
 }
 
 router::router(
--- a/services/router/router_settings.cpp
+++ b/services/router/router_settings.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::int64_t body_limit_maximum_bytes = 64LL * 1024 * 1024;
+constexpr double memory_limit_mb = 1e7;
+constexpr std::int64_t descriptor_limit = 10'000'000;
 
 } // namespace
 
@@ -34,6 +36,9 @@
     settings.log_retention = reader.milliseconds_or("log_retention_ms", settings.log_retention);
     settings.body_limit_bytes = reader.integer_or(
         "body_limit_bytes", 1, body_limit_maximum_bytes, settings.body_limit_bytes);
+    settings.memory_mb = reader.number_or("memory_mb", 0, memory_limit_mb, settings.memory_mb);
+    settings.max_descriptors =
+        reader.integer_or("max_descriptors", 0, descriptor_limit, settings.max_descriptors);
     if (auto status = reader.finish(); !status.ok())
         return status;
     return settings;
--- a/services/router/router_settings.hpp
+++ b/services/router/router_settings.hpp
@@ -26,6 +26,8 @@
     duration shutdown_timeout{60'000}; ///< longest graceful shutdown
     duration log_retention{3'600'000}; ///< how long the platform's log keeps records
     std::int64_t body_limit_bytes = 1'048'576;
+    double memory_mb = 0;             ///< that the process may use; 0: not known
+    std::int64_t max_descriptors = 0; ///< that the process may open; 0: its resource limit
 
     /// Errors carry `invalid_settings` and name file, member and what was expected.
     static absl::StatusOr<router_settings> load(std::string const& file);
--- a/utilities/standins/common/standin_program.cpp
+++ b/utilities/standins/common/standin_program.cpp
@@ -1,5 +1,6 @@
 #include "standin_program.hpp"
 
+#include <almondcart/core/clock.hpp>
 #include <almondcart/core/json.hpp>
 
 #include <iostream>
@@ -25,7 +26,11 @@
             return 0;
         }
         event_loop loop;
-        auto server = http_server::create(loop, {arguments["listen"].as<std::string>()});
+        auto server = http_server::create(
+            loop,
+            {.address = arguments["listen"].as<std::string>(),
+             .limiter = std::make_shared<connection_limiter>(
+                 connection_limits::derive(0, 0), system_clock_source::create())});
         if (!server.ok())
         {
             std::cerr << server.status().message() << '\n';
--- a/utilities/standins/platform/store_standin.cpp
+++ b/utilities/standins/platform/store_standin.cpp
@@ -1,5 +1,6 @@
 #include "store_standin.hpp"
 
+#include <almondcart/core/clock.hpp>
 #include <almondcart/core/json.hpp>
 #include <almondcart/core/text.hpp>
 
@@ -54,7 +55,11 @@
 store_standin::store_standin(event_loop& loop)
     : loop_(loop)
 {
-    auto server = http_server::create(loop, {"127.0.0.1:0"});
+    auto server = http_server::create(
+        loop,
+        {.address = "127.0.0.1:0",
+         .limiter = std::make_shared<connection_limiter>(
+             connection_limits::derive(0, 0), system_clock_source::create())});
     if (!server.ok())
         throw std::runtime_error("store stand-in: cannot listen on 127.0.0.1");
     server_ = *std::move(server);
