--- a/services/relay/relay_settings.hpp
+++ b/services/relay/relay_settings.hpp
@@ -2,6 +2,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <cstdint>
 #include <string>
 
 namespace almondcart {
@@ -14,6 +15,8 @@
     std::string store_address; ///< "ip:port" of the platform's store
     std::string load_listen;   ///< "ip:port" for datagrams about the engine's load; empty: none
     std::string log_level = "info";
+    double memory_mb = 0;             ///< that the process may use; 0: not known
+    std::int64_t max_descriptors = 0; ///< that the process may open; 0: its resource limit
 
     /// Errors have the code `invalid_settings` and name the file, the member and the expected
     /// value.
