--- a/services/gateway/gateway_announcement.cpp
+++ b/services/gateway/gateway_announcement.cpp
@@ -32,7 +32,7 @@
     , follower_(
           loop,
           store,
-          {.topic = platform::gateway_topic, .pause = read_pause, .seed = hash64(vm_)},
+          {.topic = platform::gateway_topic, .pacing = {.pause = read_pause, .seed = hash64(vm_)}},
           create_follower_hooks())
 {}
 
--- a/tests/cold_start.cpp
+++ b/tests/cold_start.cpp
@@ -312,7 +312,7 @@
         cr_assert_not_null(target);
         auto permit = gateway.limiter.try_reserve(target);
         cr_assert(permit && permit->confirm());
-        running.push_back(gateway.picker.begin(target, nullptr));
+        running.push_back(gateway.picker.begin(target, "r", nullptr));
         cold_sends += target->entry.id == "i-1" ? 1 : 0;
     }
     cr_assert_leq(cold_sends, per_second / 4);
