Forwarding: Send load messages as short arrays, and spare busy links

Change: messages are arrays, and a gateway asks nothing while its link is used by more than a quarter or the prompt has under 1,000 tokens. Test: engine_load.

--- a/libraries/forwarding/include/almondcart/forwarding/load_message.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/load_message.hpp
@@ -23,13 +23,13 @@
 std::string_view name_of(load_message_kind kind);
 
 /// Datagram between a gateway and the process beside an engine. One that is lost costs precision
-/// only.
+/// only. Encoded as a JSON array, which is short: each request to an engine takes several messages.
 struct load_message
 {
     load_message_kind kind = load_message_kind::query;
     std::int64_t number = 0; ///< of a query and its answer
     std::string request;     ///< id of the request; empty in a query and its answer
-    prompt_info prompt;      ///< of a query and an announcement
+    prompt_info prompt;      ///< of a query and an announcement; decoded without its last part
     engine_load load;        ///< of an answer
 
     static load_message query(std::int64_t number, prompt_info const& prompt);
--- a/libraries/forwarding/src/load_message.cpp
+++ b/libraries/forwarding/src/load_message.cpp
@@ -1,12 +1,9 @@
 #include <almondcart/core/count.hpp>
 #include <almondcart/core/json.hpp>
-#include <almondcart/core/json_reader.hpp>
-#include <almondcart/core/status.hpp>
 #include <almondcart/forwarding/load_message.hpp>
 
 #include <algorithm>
 #include <array>
-#include <limits>
 #include <utility>
 
 namespace almondcart::forwarding {
@@ -25,19 +22,22 @@
 constexpr std::size_t part_limit = 16;
 
 constexpr std::int64_t max_running = 1'000'000;
-constexpr double max_tokens_per_ms = 1e6;
-constexpr std::int64_t max_number = std::numeric_limits<std::int64_t>::max();
+
+/// Index of the first element behind the kind and the number or request.
+constexpr Json::ArrayIndex prompt_index = 2;
+
+/// Speeds are sent as integers in hundredths of a token per millisecond.
+constexpr double speed_scale = 100;
 
 void write_prompt(Json::Value& json, prompt_info const& prompt)
 {
-    json["input_tokens"] = Json::Int64(prompt.input_tokens);
-    auto& parts = json["parts"] = Json::Value(Json::arrayValue);
-    for (std::size_t i = 0; i < std::min(prompt.parts.size(), part_limit); ++i)
+    json.append(Json::Int64(prompt.input_tokens));
+    // The last part belongs to this request alone, so it is cached nowhere.
+    auto const shared = prompt.parts.empty() ? 0 : prompt.parts.size() - 1;
+    for (std::size_t i = 0; i < std::min(shared, part_limit); ++i)
     {
-        Json::Value part(Json::objectValue);
-        part["id"] = Json::UInt64(prompt.parts[i].id);
-        part["tokens"] = Json::Int64(prompt.parts[i].tokens);
-        parts.append(std::move(part));
+        json.append(Json::UInt64(prompt.parts[i].id));
+        json.append(Json::Int64(prompt.parts[i].tokens));
     }
 }
 
@@ -48,51 +48,54 @@
 
 bool read_prompt(Json::Value const& json, prompt_info& prompt)
 {
-    if (!is_count(json["input_tokens"]) || !json["parts"].isArray() ||
-        json["parts"].size() > part_limit)
+    auto const n = json.size();
+    bool const is_size_valid =
+        n > prompt_index && (n - prompt_index) % 2 == 1 && n <= prompt_index + 1 + 2 * part_limit;
+    if (!is_size_valid || !is_count(json[prompt_index]))
         return false;
-    prompt.input_tokens = json["input_tokens"].asInt64();
-    for (auto const& it : json["parts"])
+    prompt.input_tokens = json[prompt_index].asInt64();
+    for (auto i = prompt_index + 1; i < n; i += 2)
     {
-        if (!it.isObject() || !it["id"].isUInt64() || !is_count(it["tokens"]))
+        if (!json[i].isUInt64() || !is_count(json[i + 1]))
             return false;
-        prompt.parts.push_back({it["id"].asUInt64(), it["tokens"].asInt64()});
+        prompt.parts.push_back({json[i].asUInt64(), json[i + 1].asInt64()});
     }
+    prompt.parts.emplace_back();
     return true;
 }
 
 void write_load(Json::Value& json, engine_load const& load)
 {
-    json["waiting_tokens"] = Json::Int64(load.waiting_tokens);
-    json["cached_tokens"] = Json::Int64(load.cached_tokens);
-    json["running"] = load.running;
-    json["tokens_per_ms"] = load.tokens_per_ms;
+    json.append(Json::Int64(load.waiting_tokens));
+    json.append(Json::Int64(load.cached_tokens));
+    json.append(load.running);
+    json.append(Json::Int64(static_cast<std::int64_t>(load.tokens_per_ms * speed_scale)));
 }
 
 bool read_load(Json::Value const& json, engine_load& load)
 {
-    auto const& running = json["running"];
-    auto const& speed = json["tokens_per_ms"];
-    if (!is_count(json["waiting_tokens"]) || !is_count(json["cached_tokens"]) ||
-        !is_count(running) || running.asInt64() > max_running || !speed.isNumeric() ||
-        speed.asDouble() <= 0 || speed.asDouble() > max_tokens_per_ms)
+    constexpr Json::ArrayIndex member_count = 4;
+    if (json.size() != prompt_index + member_count)
+        return false;
+    auto const& running = json[prompt_index + 2];
+    auto const& speed = json[prompt_index + 3];
+    if (!is_count(json[prompt_index]) || !is_count(json[prompt_index + 1]) || !is_count(running) ||
+        running.asInt64() > max_running || !is_count(speed) || speed.asInt64() == 0)
         return false;
     load = {
-        .waiting_tokens = json["waiting_tokens"].asInt64(),
-        .cached_tokens = json["cached_tokens"].asInt64(),
+        .waiting_tokens = json[prompt_index].asInt64(),
+        .cached_tokens = json[prompt_index + 1].asInt64(),
         .running = running.asInt(),
-        .tokens_per_ms = speed.asDouble()};
+        .tokens_per_ms = static_cast<double>(speed.asInt64()) / speed_scale};
     return true;
 }
 
-std::optional<load_message_kind> kind_of(std::string const& name)
+std::optional<load_message_kind> kind_of(Json::Value const& value)
 {
-    for (auto const& [kind, text] : kind_names)
-    {
-        if (text == name)
-            return kind;
-    }
-    return std::nullopt;
+    if (!value.isInt64() || value.asInt64() < 0 ||
+        value.asInt64() >= static_cast<std::int64_t>(kind_names.size()))
+        return std::nullopt;
+    return static_cast<load_message_kind>(value.asInt64());
 }
 
 } // namespace
@@ -134,12 +137,10 @@
 
 std::string load_message::encode() const
 {
-    Json::Value json(Json::objectValue);
-    json["kind"] = std::string(name_of(kind));
-    if (kind == load_message_kind::query || kind == load_message_kind::answer)
-        json["number"] = Json::Int64(number);
-    else
-        json["request"] = request;
+    bool const is_exchange = kind == load_message_kind::query || kind == load_message_kind::answer;
+    Json::Value json(Json::arrayValue);
+    json.append(static_cast<int>(kind));
+    json.append(is_exchange ? Json::Value(Json::Int64(number)) : Json::Value(request));
     if (kind == load_message_kind::query || kind == load_message_kind::announce)
         write_prompt(json, prompt);
     if (kind == load_message_kind::answer)
@@ -150,25 +151,22 @@
 std::optional<load_message> load_message::decode(std::string_view text)
 {
     auto const json = parse_json(text);
-    if (!json.ok() || !json->isObject() || !(*json)["kind"].isString())
+    if (!json.ok() || !json->isArray() || json->size() < prompt_index)
         return std::nullopt;
-    auto const kind = kind_of((*json)["kind"].asString());
+    auto const kind = kind_of((*json)[0]);
     if (!kind)
         return std::nullopt;
     load_message result;
     result.kind = *kind;
-    if (*kind == load_message_kind::query || *kind == load_message_kind::answer)
-    {
-        if (!(*json)["number"].isInt64())
-            return std::nullopt;
-        result.number = (*json)["number"].asInt64();
-    }
+    bool const is_exchange =
+        *kind == load_message_kind::query || *kind == load_message_kind::answer;
+    auto const& id = (*json)[1];
+    if (is_exchange ? !id.isInt64() : !id.isString())
+        return std::nullopt;
+    if (is_exchange)
+        result.number = id.asInt64();
     else
-    {
-        if (!(*json)["request"].isString())
-            return std::nullopt;
-        result.request = (*json)["request"].asString();
-    }
+        result.request = id.asString();
     bool const has_prompt =
         *kind == load_message_kind::query || *kind == load_message_kind::announce;
     if (has_prompt && !read_prompt(*json, result.prompt))
--- a/services/gateway/engine_placement.cpp
+++ b/services/gateway/engine_placement.cpp
@@ -18,6 +18,13 @@
 /// not answer by then is lost, frozen or cut off.
 constexpr duration query_timeout{12};
 
+/// Utilization of the VM's link from which on nothing is asked, because the datagrams of a request
+/// are a noticeable part of what a small link carries.
+constexpr double max_link_utilization = 0.25;
+
+/// Prompts that are shorter are read so soon that the choice of the engine hardly matters.
+constexpr std::int64_t min_tokens = 1000;
+
 std::string host_of(std::string const& address)
 {
     return address.substr(0, address.rfind(':'));
@@ -68,7 +75,7 @@
 
 void engine_placement::select(forwarding::pick_request const& request, callback done)
 {
-    if (!is_active() || request.prompt == nullptr)
+    if (request.prompt == nullptr || !should_ask(*request.prompt))
     {
         done(picker_.pick(request));
         return;
@@ -136,6 +143,12 @@
     is_fleet_large_ = n >= static_cast<std::size_t>(settings_.min_gateways);
 }
 
+bool engine_placement::should_ask(forwarding::prompt_info const& prompt) const
+{
+    return is_active() && link_utilization_ <= max_link_utilization &&
+           prompt.input_tokens >= min_tokens;
+}
+
 bool engine_placement::is_active() const
 {
     return socket_ != nullptr && is_fleet_large_;
--- a/services/gateway/engine_placement.hpp
+++ b/services/gateway/engine_placement.hpp
@@ -41,6 +41,9 @@
 
     void set_gateway_count(std::size_t n);
 
+    /// Sets the utilization of the VM's link, from 0 to 1.
+    void set_link_utilization(double utilization) { link_utilization_ = utilization; }
+
     /// Calls `done` with an upstream, or null if none accepts work; at once or some milliseconds
     /// later.
     void select(forwarding::pick_request const& request, callback done);
@@ -57,9 +60,12 @@
         std::size_t answers = 0;
     };
 
-    /// Whether engines' loads are asked for and announced now.
+    /// Whether engines' loads are announced now.
     bool is_active() const;
 
+    /// Whether engines are asked for their load for this prompt.
+    bool should_ask(forwarding::prompt_info const& prompt) const;
+
     void receive(std::string_view data);
     void finish(std::int64_t number);
     void send(forwarding::upstream const& target, forwarding::load_message const& message);
@@ -70,6 +76,7 @@
     forwarding::engine_chooser chooser_;
     engine_placement_settings settings_;
     bool is_fleet_large_ = false;
+    double link_utilization_ = 0;
     std::unique_ptr<datagram_socket> socket_;
     std::map<std::int64_t, round> rounds_; ///< by number of the first query
     std::int64_t next_number_ = 0;
--- a/services/gateway/gateway.cpp
+++ b/services/gateway/gateway.cpp
@@ -487,6 +487,7 @@
     auto const& totals = http1::byte_stream::totals();
     bool const was_overloaded = link_.is_overloaded();
     link_.update(totals.received, totals.sent);
+    placement_.set_link_utilization(link_.utilization());
     if (link_.is_overloaded() == was_overloaded)
         return;
     spdlog::info(
--- a/tests/engine_load.cpp
+++ b/tests/engine_load.cpp
@@ -204,16 +204,18 @@
           "{",
           "[]",
           "{}",
-          R"({"kind":"load"})",
-          R"({"kind":7})",
-          R"({"kind":"end","request":7})",
-          R"({"kind":"query","number":"1","input_tokens":1,"parts":[]})",
-          R"({"kind":"query","number":1,"input_tokens":-1,"parts":[]})",
-          R"({"kind":"query","number":1,"input_tokens":9223372036854775807,"parts":[]})",
-          R"({"kind":"query","number":1,"input_tokens":1,"parts":[7]})",
-          R"({"kind":"query","number":1,"input_tokens":1,"parts":[{"id":-1,"tokens":1}]})",
-          R"({"kind":"answer","number":1})",
-          R"({"kind":"answer","number":1,"waiting_tokens":0,"cached_tokens":0,"running":0,)"
-          R"("tokens_per_ms":0})"})
+          "[0]",
+          "[9,1]",
+          "[-1,1]",
+          R"([2,7,1])",
+          R"([4,7])",
+          R"([0,"1",1])",
+          "[0,1,-1]",
+          "[0,1,9223372036854775807]",
+          "[0,1,1,7]",
+          "[0,1,1,-1,1]",
+          "[1,1]",
+          "[1,1,0,0,0,0]",
+          "[1,1,0,0,0,1,1]"})
         cr_assert_not(load_message::decode(text).has_value(), "%s", text);
 }
