Tests: Let a stream continue only at an upstream that was not tried

The test of a stream that does not continue in a drained zone also passed with drains ignored, because the upstream there had been tried before. It now registers during the stream; with drains ignored the test fails.

--- a/tests/gateway_zone_drain.cpp
+++ b/tests/gateway_zone_drain.cpp
@@ -121,28 +121,26 @@
     cr_assert_eq(it.first.request_heads().size() + it.second.request_heads().size(), before);
 }
 
-// Guards against a stream that continues in a drained zone; the stream that runs there may end.
+// Guards against a stream that continues in a drained zone, at an upstream that was not tried.
 Test(gateway_zone_drain, a_stream_does_not_continue_in_a_drained_zone)
 {
     drain_fixture it;
     it.fill_retry_budget();
+    it.add(it.first, "draining");
+    it.wait_for_output("address=" + it.first.address() + " draining=true");
     it.second.set_mode(upstream_mode::truncated_stream);
-    it.first.set_mode(upstream_mode::not_executed);
-    std::shared_ptr<client_response> stream;
+    auto const stream =
+        it.send(it.listen, "POST", "/resume/x", gateway_fixture::client_headers("r-1"));
+    it.run_until([&] { return stream->body.find("id: 3") != std::string::npos; });
+    it.drain("zone-1");
+    auto const added = it.output().size();
+    it.add(it.first);
     it.run_until(
         [&]
         {
-            stream =
-                it.send(it.listen, "POST", "/resume/x", gateway_fixture::client_headers("r-1"));
-            it.run_until(
-                [&] {
-                    return stream->end.has_value() ||
-                           stream->body.find("id: 3") != std::string::npos;
-                });
-            return !stream->end.has_value();
+            return it.output().find("address=" + it.first.address() + " draining=false", added) !=
+                   std::string::npos;
         });
-    it.first.set_mode(upstream_mode::by_path);
-    it.drain("zone-1");
     auto const before = it.first.request_heads().size();
     it.second.release();
     it.run_until([&] { return stream->end.has_value(); });
--- a/tests/platform.cpp
+++ b/tests/platform.cpp
@@ -383,3 +383,35 @@
     }
     cr_assert_not(decode_configuration(text("-1")).ok());
 }
+
+// Guards against a configuration or an upstream that is lost by a fraction or a negative number in
+// what is said of cold upstreams, and against a limit of a fraction that counts as none.
+Test(platform, cold_members_are_read_and_odd_ones_harm_nothing)
+{
+    auto const decode = [](std::string const& members)
+    {
+        auto const content = platform::decode_configuration(
+            R"({"version":1,"backends":[{"name":"models")" + members + "}]}");
+        cr_assert(content.ok());
+        return content->services.at(0);
+    };
+    cr_assert_eq(decode("").cold_per_second, 0);
+    auto const service = decode(R"(,"coldStartS":2.5,"coldPerS":20)");
+    cr_assert_eq(service.cold_time.count(), 2500);
+    cr_assert_eq(service.cold_per_second, 20);
+    cr_assert_eq(decode(R"(,"coldPerS":0.5)").cold_per_second, 1);
+    cr_assert_eq(decode(R"(,"coldPerS":-3)").cold_per_second, 0);
+    auto const cold_left = [](std::string const& members)
+    {
+        auto const entry = platform::decode_upstream(
+            "i-1",
+            R"({"backend":"models","address":"10.0.0.1:80","zone":"a","state":"ready")" + members +
+                "}");
+        cr_assert(entry.ok());
+        return entry->cold_left;
+    };
+    cr_assert_not(cold_left("").has_value());
+    cr_assert_eq(cold_left(R"(,"coldLeftMs":0)")->count(), 0);
+    cr_assert_eq(cold_left(R"(,"coldLeftMs":1234.5)")->count(), 1234);
+    cr_assert_eq(cold_left(R"(,"coldLeftMs":-1)")->count(), 0);
+}
