--- a/services/gateway/prepaid_accounts.cpp
+++ b/services/gateway/prepaid_accounts.cpp
@@ -4,8 +4,6 @@
 #include <almondcart/platform/operator_records.hpp>
 
 #include <algorithm>
-#include <set>
-#include <string_view>
 
 namespace almondcart {
 
@@ -55,17 +53,6 @@
     return std::ranges::any_of(logs_, [](auto const& it) { return it->holder().is_busy(); });
 }
 
-std::size_t prepaid_accounts::gateway_count() const
-{
-    std::set<std::string_view> vms;
-    for (auto const& it : logs_)
-    {
-        for (auto const& [owner, entry] : it->holder().ledger().entries())
-            vms.insert(owner.vm);
-    }
-    return std::max<std::size_t>(1, vms.size());
-}
-
 forwarding::prepaid_holder& prepaid_accounts::holder_of(std::string const& account)
 {
     return logs_[hash64(account) % logs_.size()]->holder();
--- a/services/gateway/prepaid_accounts.hpp
+++ b/services/gateway/prepaid_accounts.hpp
@@ -32,9 +32,6 @@
     bool is_synced() const;
     bool is_busy() const;
 
-    /// Number of VMs with gateways that have drawn tokens of any account, this one included.
-    std::size_t gateway_count() const;
-
     /// Returns the holder of an account's tokens.
     forwarding::prepaid_holder& holder_of(std::string const& account);
 
