--- a/libraries/forwarding/include/almondcart/forwarding/engine_chooser.hpp
+++ b/libraries/forwarding/include/almondcart/forwarding/engine_chooser.hpp
@@ -42,7 +42,8 @@
     choose(std::vector<engine_candidate> const& candidates, prompt_info const& prompt) const;
 
     /// Cost of one engine in milliseconds.
-    double cost_ms(upstream const& target, engine_load const& load, prompt_info const& prompt) const;
+    double
+    cost_ms(upstream const& target, engine_load const& load, prompt_info const& prompt) const;
 
 private:
     engine_chooser_settings settings_;
--- a/libraries/http/src/datagram_socket.cpp
+++ b/libraries/http/src/datagram_socket.cpp
@@ -65,8 +65,8 @@
     {
         sockaddr_storage sender{};
         socklen_t size = sizeof(sender);
-        auto const n = recvfrom(
-            fd_, buf.data(), buf.size(), 0, reinterpret_cast<sockaddr*>(&sender), &size);
+        auto const n =
+            recvfrom(fd_, buf.data(), buf.size(), 0, reinterpret_cast<sockaddr*>(&sender), &size);
         if (n < 0)
             return;
         on_datagram_(
