--- a/libraries/http1/src/inbound_connection.hpp
+++ b/libraries/http1/src/inbound_connection.hpp
@@ -36,7 +36,8 @@
     /// Bytes taken for a request that is not complete, and for what is written.
     std::size_t held_bytes() const;
 
-    /// Whether a request is not complete and fewer than `stall_bytes` of it came within `stall_time`.
+    /// Whether a request is not complete and fewer than `stall_bytes` of it came within
+    /// `stall_time`.
     bool is_stalled(instant now) const;
 
     bool is_long_idle(instant now) const;
