Http: Let datagram_socket parse its address

Cause: the gateway's load queries and the relay's answers each parsed the address, passed errors on and created the socket in the same ten lines. Change: datagram_socket::create takes the text and parses it.

--- a/libraries/http/include/almondcart/http/datagram_socket.hpp
+++ b/libraries/http/include/almondcart/http/datagram_socket.hpp
@@ -18,9 +18,10 @@
 public:
     using handler = std::function<void(std::string_view data, socket_address const& sender)>;
 
-    /// Binds to `address`; port 0 takes a free one. Returns `invalid_settings` if that fails.
+    /// Binds to `address`, "ip:port"; port 0 takes a free one. Returns `invalid_settings` if that
+    /// fails.
     static absl::StatusOr<std::unique_ptr<datagram_socket>>
-    create(event_loop& loop, socket_address const& address, handler on_datagram);
+    create(event_loop& loop, std::string_view address, handler on_datagram);
 
     ~datagram_socket();
     datagram_socket(datagram_socket const&) = delete;
--- a/libraries/http/src/datagram_socket.cpp
+++ b/libraries/http/src/datagram_socket.cpp
@@ -21,14 +21,17 @@
 } // namespace
 
 absl::StatusOr<std::unique_ptr<datagram_socket>>
-datagram_socket::create(event_loop& loop, socket_address const& address, handler on_datagram)
+datagram_socket::create(event_loop& loop, std::string_view address, handler on_datagram)
 {
-    int const fd = socket(address.family(), SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (fd < 0 || bind(fd, address.native(), address.size()) != 0)
+    auto const parsed = socket_address::parse(address);
+    if (!parsed.ok())
+        return parsed.status();
+    int const fd = socket(parsed->family(), SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0 || bind(fd, parsed->native(), parsed->size()) != 0)
     {
         auto status = make_status(
             result_code::invalid_settings,
-            address.to_text() + ": no datagram socket: " + std::strerror(errno));
+            parsed->to_text() + ": no datagram socket: " + std::strerror(errno));
         if (fd >= 0)
             ::close(fd);
         return status;
--- a/services/gateway/engine_placement.cpp
+++ b/services/gateway/engine_placement.cpp
@@ -60,12 +60,9 @@
 {
     if (settings_.load_port == 0)
         return absl::OkStatus();
-    auto const address = socket_address::parse(host_of(listen_address) + ":0");
-    if (!address.ok())
-        return address.status();
     auto socket = datagram_socket::create(
         loop_,
-        *address,
+        host_of(listen_address) + ":0",
         [this](std::string_view data, socket_address const& sender) { receive(data, sender); });
     if (!socket.ok())
         return socket.status();
--- a/services/relay/load_board.cpp
+++ b/services/relay/load_board.cpp
@@ -14,12 +14,9 @@
 
 absl::Status load_board::open(std::string const& address)
 {
-    auto const parsed = socket_address::parse(address);
-    if (!parsed.ok())
-        return parsed.status();
     auto socket = datagram_socket::create(
         loop_,
-        *parsed,
+        address,
         [this](std::string_view data, socket_address const& sender) { receive(data, sender); });
     if (!socket.ok())
         return socket.status();
