Review: Show slow readers that end a gateway (case 6)

The case takes the place of bursts of retries; the others move down.

Cause: what the kernel receives from the upstreams of paused streams is in no account, so neither the buffer limit nor the limits on connections bound it. Ruled out: pages of the program and its libraries, which are not counted; 1,500 clients with large or chunked bodies stay within the memory.

--- a/review/standins-2/fleet.hpp
+++ b/review/standins-2/fleet.hpp
@@ -187,6 +187,7 @@
     /// Further headers of each answer.
     std::function<header_vector()> extra_headers;
 
+    int slots = 48;
     int work_ms = 30;
     int events = 6;
     int event_gap_ms = 20;
@@ -276,7 +277,7 @@
                                 << "\",\"store_address\":\"" << platform.address()
                                 << "\",\"shutdown_grace_s\":8,\"relay_port\":" << relay_port_
                                 << ",\"prepaid_topics\":8,\"link_mbps\":1000.0,\"memory_mb\":"
-                                << memory_mb << ",\"max_descriptors\":4100}\n";
+                                << memory_mb << ",\"max_descriptors\":" << max_descriptors << "}\n";
         it->running =
             std::make_unique<process>("target/services/almondcart-gateway", settings, it->log);
         record.line(
@@ -337,7 +338,8 @@
                 (is_first ? "" : ",") + std::string("{\"name\":\"") + it +
                 "\",\"healthCheck\":\"/health\",\"maxConns\":300,\"protocol\":\"h1\",\"tls\":false";
             if (models.contains(it))
-                text += ",\"engine\":{\"slots\":48,\"kvCapacityTokens\":380203,\"stride\":1,"
+                text += ",\"engine\":{\"slots\":" + std::to_string(engine_slots) +
+                        ",\"kvCapacityTokens\":380203,\"stride\":1,"
                         "\"models\":[{\"name\":\"m\"}]}";
             text += "}";
             is_first = false;
@@ -407,6 +409,8 @@
     std::vector<std::unique_ptr<gateway_process>> gateways;
     std::vector<std::unique_ptr<replica>> replicas;
     double memory_mb = 110;
+    int max_descriptors = 4100;
+    int engine_slots = 48; ///< in the configuration
 
 private:
     /// A port that is free on the addresses of the relays.
@@ -452,7 +456,8 @@
 {
     std::lock_guard const lock(mutex_);
     return "{\"backend\":\"" + service_ + "\",\"address\":\"" + server_->address() +
-           "\",\"zone\":\"" + zone_ + "\",\"version\":\"v1\",\"slots\":48,\"state\":\"" + state +
+           "\",\"zone\":\"" + zone_ + "\",\"version\":\"v1\",\"slots\":" + std::to_string(slots) +
+           ",\"state\":\"" + state +
            "\",\"coldLeftMs\":0,\"sequence\":" + std::to_string(++sequence_) +
            ",\"born\":" + std::to_string(born_) + "}";
 }
--- a/review/standins-2/late_part.cpp
+++ b/review/standins-2/late_part.cpp
@@ -1,5 +1,5 @@
 // Long conversations in which the seventeenth or a later part crashes replicas; see
-// review/6/claim.txt.
+// review/7/claim.txt.
 
 #include "crash_fleet.hpp"
 
--- a/review/standins-2/lost_balance.cpp
+++ b/review/standins-2/lost_balance.cpp
@@ -1,4 +1,4 @@
-// All gateways are killed a number of times; see review/7/claim.txt.
+// All gateways are killed a number of times; see review/8/claim.txt.
 
 #include "fleet.hpp"
 
