--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,13 +4,13 @@
 set -u
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
-for program in target/services/almondcart-gateway target/services/almondcart-relay target/review-2/burst_retries; do
+for program in target/services/almondcart-gateway target/services/almondcart-relay target/review-2/long_name; do
     if [ ! -x "$program" ]; then
         echo "$program is missing: build the deploy file, then run review/build-2.sh" >&2
         exit 2
     fi
 done
-timeout --signal=KILL 118 target/review-2/burst_retries "$here/record.txt"
+timeout --signal=KILL 118 target/review-2/long_name "$here/record.txt"
 result=$?
 [ "$result" -le 1 ] || result=2
 exit "$result"
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-cases=(late_part lost_balance blamed_session burst_retries incomplete_entry)
+cases=(slow_readers late_part lost_balance long_name incomplete_entry)
 mkdir -p target/review-2
 for name in "${cases[@]}"; do
     g++ -std=c++20 -O1 -Wall -Wextra -pthread -o "target/review-2/$name" "review/standins-2/$name.cpp" &
