Tests: Read the peak memory of a process in one place

Cause: three test files each held a copy of the same reader of /proc/PID/status; the tests of responses without end need it once more.

Change: tests/support/process_memory.hpp. No check changes.

--- a/tests/gateway_memory.cpp
+++ b/tests/gateway_memory.cpp
@@ -3,11 +3,11 @@
 #include <criterion/criterion.h>
 #include <sys/socket.h>
 
-#include <fstream>
 #include <memory>
 #include <string>
 #include <vector>
 
+#include "support/process_memory.hpp"
 #include "support/scripted_fixture.hpp"
 
 using namespace almondcart;
@@ -57,23 +57,12 @@
         run_until([&] { return loop.now() >= end; });
     }
 
-    /// Largest resident memory of the gateway so far.
-    long peak_kb() const
-    {
-        std::ifstream file("/proc/" + std::to_string(gateway->id()) + "/status");
-        std::string word;
-        while (file >> word && word != "VmHWM:")
-        {}
-        long kb = 0;
-        file >> kb;
-        return kb;
-    }
-
     void check_memory()
     {
         cr_assert_not(gateway->try_wait().has_value());
-        cr_assert_gt(peak_kb(), 0);
-        cr_assert_lt(peak_kb(), memory_limit_kb, "%ld kB", peak_kb());
+        auto const peak = peak_memory_kb(gateway->id());
+        cr_assert_gt(peak, 0);
+        cr_assert_lt(peak, memory_limit_kb, "%ld kB", peak);
     }
 };
 
--- a/tests/untrusted_clients_gateway.cpp
+++ b/tests/untrusted_clients_gateway.cpp
@@ -3,12 +3,12 @@
 
 #include <algorithm>
 #include <filesystem>
-#include <fstream>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "support/gateway_fixture.hpp"
+#include "support/process_memory.hpp"
 
 // Each test starts a gateway with a small memory and few descriptors, opens a crowd of connections
 // that misuse it, and checks that the process lives within both and serves an ordinary request.
@@ -101,18 +101,6 @@
         run_until([&] { return loop.now() >= end; });
     }
 
-    /// Largest resident memory of the gateway so far.
-    long peak_kb() const
-    {
-        std::ifstream file("/proc/" + std::to_string(gateway->id()) + "/status");
-        std::string word;
-        while (file >> word && word != "VmHWM:")
-        {}
-        long kb = 0;
-        file >> kb;
-        return kb;
-    }
-
     int count_descriptors() const
     {
         std::filesystem::directory_iterator const entries(
@@ -138,7 +126,7 @@
             wait(duration(50));
         }
         cr_assert_not(gateway->try_wait().has_value());
-        auto const peak = peak_kb();
+        auto const peak = peak_memory_kb(gateway->id());
         std::fprintf(stderr, "peak_kb=%ld descriptors=%d\n", peak, descriptors);
         cr_assert_gt(peak, 0);
         cr_expect_lt(peak, memory_mb * 1000L, "%ld kB", peak);
--- a/tests/untrusted_clients_servers.cpp
+++ b/tests/untrusted_clients_servers.cpp
@@ -20,6 +20,7 @@
 #include "support/child_process.hpp"
 #include "support/expect.hpp"
 #include "support/http_call.hpp"
+#include "support/process_memory.hpp"
 #include "support/tcp.hpp"
 
 // Clients that nobody controls once drove a process out of memory by bodies that stop just short of
@@ -182,24 +183,13 @@
         for (int tries = 0; tries < 5 && !is_answered; ++tries)
             is_answered = is_answering();
         cr_expect(is_answered, "an ordinary request gets no answer");
-        auto const peak = peak_kb();
+        auto const peak = peak_memory_kb(process_->id());
         cr_log_info("peak %ld kB, %ld descriptors", peak, descriptors_);
         cr_expect_gt(peak, 0);
         cr_expect_lt(peak, memory_mb * 1000L, "peak memory %ld kB", peak);
         cr_expect_leq(descriptors_, max_descriptors, "%ld descriptors", descriptors_);
     }
 
-    long peak_kb() const
-    {
-        std::ifstream file("/proc/" + std::to_string(process_->id()) + "/status");
-        std::string word;
-        while (file >> word && word != "VmHWM:")
-        {}
-        long kb = 0;
-        file >> kb;
-        return kb;
-    }
-
     void sample_descriptors()
     {
         auto const open =
