Http1, Http: Take a status that no response can have for no answer

Callers saw (gateway, its upstream answers with status 000): no answer until their deadline and then 504; or, where the body of that answer looks like a response, a 200 with the seal in it as if it were the answer. 101 did the same. 600 and 999 were passed on with the upstream's seal. Callers of the router got 000 and 999 from the agent as answers.

Cause: the parser takes any three digits for a status. The gateway's connection skipped everything below 200 as an interim response, and read the body behind it as the next head. h2o's client, which the agent, the router, the relay and the store's client use, gives any status as final but 100 and 102 to 199.

Change: a status counts only if it is interim (100 to 199 but 101) or final (200 to 599); one header says so for both clients. Any other makes the head malformed, which ends the attempt as lost: it is repeated where that is allowed, else answered 502. The connection is not used again. A frame from an agent needs a final status, too. This works for each such answer because it is decided where heads are parsed, before any of it is passed on.

--- a/libraries/gate/src/frame.cpp
+++ b/libraries/gate/src/frame.cpp
@@ -62,7 +62,7 @@
         reader.fail("final", "true");
     if (reader.has("code"))
         frame.code = read_code(reader, "code");
-    frame.status = static_cast<int>(reader.integer("status", 100, 999));
+    frame.status = static_cast<int>(reader.integer("status", 200, 599));
     frame.content_type = reader.string("content_type");
     reader.object(
         "usage",
--- a/libraries/http/src/client_call.cpp
+++ b/libraries/http/src/client_call.cpp
@@ -1,6 +1,7 @@
 #include "client_call.hpp"
 
 #include <almondcart/core/status.hpp>
+#include <almondcart/http/response_status.hpp>
 
 #include <absl/strings/cord.h>
 #include <absl/strings/str_cat.h>
@@ -32,6 +33,19 @@
            info.tcpi_state == TCP_CLOSE_WAIT;
 }
 
+/// Whether a parsed head is one of a final response. h2o takes any number for a status.
+bool is_valid(http_response_head const& head)
+{
+    return is_final_status(head.status);
+}
+
+/// h2o keeps the connection after a complete response, whatever its callback returns. It closes one
+/// that has been shut down before it sends the next request on it.
+void prevent_reuse(h2o_http1client_t const& native)
+{
+    shutdown(h2o_socket_get_fd(native.sock), SHUT_RDWR);
+}
+
 /// Sets a flag for the duration of a scope.
 class scoped_flag
 {
@@ -161,6 +175,12 @@
         callback(std::move(status));
 }
 
+void client_call::fail(std::string_view detail)
+{
+    end(make_status(
+        result_code::upstream_lost, absl::StrCat(request_.address, ": ", std::string(detail))));
+}
+
 h2o_http1client_head_cb client_call::on_connect(
     h2o_http1client_t* native,
     char const* error,
@@ -201,8 +221,7 @@
     if (error != nullptr && !is_complete)
     {
         self->native_ = nullptr;
-        self->end(make_status(
-            result_code::upstream_lost, self->request_.address + ": " + std::string(error)));
+        self->fail(error);
         return nullptr;
     }
     http_response_head head{status, {}};
@@ -210,6 +229,13 @@
         head.headers.emplace_back(
             std::string(headers[i].name->base, headers[i].name->len),
             std::string(headers[i].value.base, headers[i].value.len));
+    if (!is_valid(head))
+    {
+        prevent_reuse(*native);
+        self->native_ = nullptr;
+        self->fail("response is malformed");
+        return nullptr;
+    }
     self->is_chunked_ = find_header(head.headers, "transfer-encoding").has_value();
     self->ends_with_connection_ =
         !self->is_chunked_ && !find_header(head.headers, "content-length").has_value();
@@ -258,8 +284,7 @@
     if (error != nullptr && !is_complete)
     {
         self->native_ = nullptr;
-        self->end(make_status(
-            result_code::upstream_lost, self->request_.address + ": " + std::string(error)));
+        self->fail(error);
         return -1;
     }
     // h2o reports a chunked body as complete when the connection is closed between two chunks. The
@@ -271,8 +296,7 @@
     if (is_complete && (is_cut_between_chunks || is_reset))
     {
         self->native_ = nullptr;
-        self->end(make_status(
-            result_code::upstream_lost, self->request_.address + ": response is incomplete"));
+        self->fail("response is incomplete");
         return -1;
     }
     bool const is_continued = self->receive_body();
--- a/libraries/http/src/client_call.hpp
+++ b/libraries/http/src/client_call.hpp
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "connection_pool.hpp"
 #include "http_client_state.hpp"
@@ -46,6 +47,7 @@
     void set_timeout(duration timeout, char const* message);
     void close_connection();
     void end(absl::Status status);
+    void fail(std::string_view detail);
     bool receive_body();
 
     http_client::state* client_; ///< null after the call has ended
--- a/libraries/http1/src/message.cpp
+++ b/libraries/http1/src/message.cpp
@@ -1,4 +1,5 @@
 #include <almondcart/core/text.hpp>
+#include <almondcart/http/response_status.hpp>
 #include <almondcart/http1/message.hpp>
 
 #include <algorithm>
@@ -153,7 +154,7 @@
         headers.data(),
         &n,
         0);
-    bool is_valid = parsed >= 0;
+    bool is_valid = parsed >= 0 && (is_interim_status(head.status) || is_final_status(head.status));
     if (is_valid)
     {
         head.reason.assign(reason, reason_length);
--- a/libraries/http1/src/outbound_connection.cpp
+++ b/libraries/http1/src/outbound_connection.cpp
@@ -1,4 +1,5 @@
 #include <almondcart/core/text.hpp>
+#include <almondcart/http/response_status.hpp>
 #include <almondcart/http1/outbound_connection.hpp>
 
 #include <array>
@@ -11,8 +12,6 @@
 /// Maximum length of a response head, in bytes.
 constexpr std::size_t response_head_limit = std::size_t{64} * 1024;
 
-constexpr int first_final_status = 200;
-
 /// Response heads of one exchange: its own, and interim and rejected ones before it.
 constexpr int received_head_limit = 8;
 
@@ -184,7 +183,7 @@
         return false;
     }
     data.remove_prefix(consumed);
-    return head.status < first_final_status || begin_body(head);
+    return is_interim_status(head.status) || begin_body(head);
 }
 
 bool outbound_connection::state::begin_body(response_head const& head)
--- a/tests/agent.cpp
+++ b/tests/agent.cpp
@@ -15,8 +15,10 @@
 #include "engine_client.hpp"
 #include "server_sent_event_parser.hpp"
 #include "service_client.hpp"
+#include "support/faulty_server.hpp"
 
 using namespace almondcart;
+using namespace almondcart::test_support;
 
 namespace {
 
@@ -201,6 +203,33 @@
     cr_assert(!fixture.failure);
 }
 
+// An upstream replies with a status that no response can have. Guards against an agent that hands
+// it to the router as an answer.
+Test(service_client, a_status_that_no_response_can_have_is_a_failure)
+{
+    for (std::string const status : {"000", "101", "999"})
+    {
+        event_loop loop;
+        http_client client(loop);
+        faulty_server server(
+            loop,
+            [&](std::string const&) {
+                return faulty_server::reply{
+                    "HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\nok", {}};
+            });
+        agent_settings settings;
+        settings.upstream_address = server.address();
+        service_client service(settings, client);
+        std::optional<call_failure> failure;
+        upstream_events events;
+        events.finished = [](upstream_response const&) { cr_assert_fail("an answer"); };
+        events.failed = [&](std::string_view, call_failure it) { failure = it; };
+        events.not_started = [](std::string_view) { cr_assert_fail("a call that did not start"); };
+        service.start(1, create_work(), std::move(events));
+        loop.run_until([&] { return failure.has_value(); });
+    }
+}
+
 // Guards against starting with a misspelt or invalid setting, and against errors that don't name
 // the file, the member and the expected value.
 Test(agent_settings, names_file_member_and_expected_value)
--- a/tests/gateway_upstream_faults.cpp
+++ b/tests/gateway_upstream_faults.cpp
@@ -230,3 +230,48 @@
             1);
     }
 }
+
+namespace {
+
+/// Sends a request of each kind to an upstream that replies with `reply_to(id)`, and checks that no
+/// client gets that as an answer.
+void check_no_answer(std::function<std::string(std::string const& id)> const& reply_to)
+{
+    scripted_fixture it(
+        [&](std::string const& id, std::string const&) {
+            return scripted_upstream::reply{reply_to(id), false};
+        });
+    for (std::string const kind : {"safe", "unsafe", "stream", "resume"})
+    {
+        auto const response = it.ask("/" + kind + "/x", "r-" + kind);
+        bool const is_refusal = response.head.status == 502 || response.head.status == 503;
+        cr_assert(is_refusal, "%s: %d", kind.c_str(), response.head.status);
+        cr_assert_eq(response.header("X-Almondcart-Response-Seal"), "");
+        cr_assert_eq(response.header("X-Odd"), "");
+    }
+    cr_assert_not(it.gateway->try_wait().has_value());
+}
+
+} // namespace
+
+// An upstream replies with a status that no response can have. Guards against a client that gets it
+// as an answer, or what follows it, or nothing until its deadline.
+Test(gateway_upstream_faults, a_status_that_no_response_can_have_is_no_answer)
+{
+    for (std::string const status : {"000", "099", "101", "600", "999"})
+    {
+        auto const head_of = [&](std::string const& id)
+        {
+            return "HTTP/1.1 " + status + " Odd\r\nX-Odd: 1\r\nX-Almondcart-Request-Id: " + id +
+                   "\r\nX-Almondcart-Response-Seal: seal\r\n";
+        };
+        check_no_answer([&](std::string const& id)
+                        { return head_of(id) + "Content-Length: 0\r\n\r\n"; });
+        check_no_answer(
+            [&](std::string const& id)
+            {
+                return head_of(id) + fmt::format("Content-Length: {}\r\n\r\n", answer(id).size()) +
+                       answer(id);
+            });
+    }
+}
--- a/tests/http.cpp
+++ b/tests/http.cpp
@@ -278,6 +278,63 @@
     }
 }
 
+// A server sends a status that no final response can have. Guards against passing it on as one.
+Test(http, a_status_that_no_response_can_have_is_an_error)
+{
+    for (std::string const status : {"000", "001", "099", "101", "600", "999"})
+    {
+        auto const head = "HTTP/1.1 " + status + " Odd\r\n";
+        for (std::string const rest :
+             {"Content-Length: 0\r\n\r\n", "Content-Length: 2\r\n\r\nok", "\r\n"})
+        {
+            auto const result = fetch_raw(head + rest, false);
+            cr_assert_eq(code_of(result), result_code::upstream_lost, "%s", status.c_str());
+            cr_assert_not(is_request_unsent(result));
+        }
+    }
+}
+
+// A server sends a malformed but whole response on a connection that is kept. Guards against the
+// next request on that connection.
+Test(http, a_connection_that_carried_a_malformed_response_is_not_reused)
+{
+    event_loop loop;
+    http_client client(loop);
+    int connection_count = 0;
+    auto any = *socket_address::parse("127.0.0.1:0");
+    int const listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    bind(listener, any.native(), any.size());
+    listen(listener, SOMAXCONN);
+    std::vector<st_h2o_socket_t*> watches{loop.watch(
+        listener,
+        [&]
+        {
+            int const fd = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+            ++connection_count;
+            watches.push_back(loop.watch(
+                fd,
+                [fd]
+                {
+                    std::string buf(4096, '\0');
+                    std::string const text = "HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n";
+                    if (recv(fd, buf.data(), buf.size(), 0) > 0)
+                        send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+                }));
+        })};
+    for (int n = 1; n <= 3; ++n)
+    {
+        http_request request;
+        request.address = socket_address::of_socket(listener).to_text();
+        received_response response;
+        client.request(request, collect(response));
+        loop.run_until([&] { return response.is_done(); });
+        cr_assert_not(response.result->ok());
+        cr_assert_eq(connection_count, n);
+    }
+    for (auto* const it : watches)
+        loop.unwatch(it);
+}
+
 // Guards against clients receiving each other's responses when these complete out of order.
 Test(http, responses_out_of_order_reach_their_clients)
 {
--- a/tests/http1.cpp
+++ b/tests/http1.cpp
@@ -247,6 +247,22 @@
     cr_assert(it.heads.empty());
 }
 
+// An upstream sends a status that no response can have. 101 would end HTTP on the connection, which
+// no request asks for. Guards against passing it on, and against skipping it as an interim
+// response, after which its body would be read as the response.
+Test(outbound_connection, a_status_that_no_response_can_have_is_malformed)
+{
+    for (std::string const status : {"000", "001", "099", "101", "600", "999"})
+    {
+        client_fixture it(
+            "HTTP/1.1 " + status + " Odd\r\nContent-Length: 40\r\n\r\n" +
+            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        it.exchange(true);
+        cr_assert(*it.outcome == exchange_outcome::malformed, "%s", status.c_str());
+        cr_assert(it.heads.empty(), "%s", status.c_str());
+    }
+}
+
 // Guards against taking surplus bytes after a response as the next response.
 Test(outbound_connection, is_not_reusable_after_surplus_bytes)
 {
