Http: Take a head with a folded line for no answer

Looked for: heads in which the name of a field holds a blank or a control byte.

Already handled: the parser of both clients refuses such names, and the gateway also refuses a line that begins with a blank. outbound_connection.a_field_name_with_a_blank_or_control_byte_is_malformed and gateway_upstream_faults.a_field_name_with_a_blank_or_control_byte_is_no_answer pass on the untouched code and stay as tests.

Callers of the agent could see: an answer whose head had a line that begins with a blank. The line was dropped, also one such as " Content-Length: 2", so the body could be another than the upstream's.

Cause: the parser reports such a line as a continuation, which is a field without a name, and h2o's client passes it on like any other.

Evidence: http.a_field_name_with_a_blank_or_control_byte_is_an_error fails on the untouched code at "X-A: 1\r\n Content-Length: 2"; the lines before it were refused.

Change: a head with a field without a name is malformed. The parser reports each continuation in this way, so none gets through.

After: the test passes.

--- a/libraries/http/src/client_call.cpp
+++ b/libraries/http/src/client_call.cpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace almondcart {
@@ -33,10 +34,12 @@
            info.tcpi_state == TCP_CLOSE_WAIT;
 }
 
-/// Whether a parsed head is one of a final response. h2o takes any number for a status.
+/// Whether a parsed head is one of a final response. h2o takes any number for a status, and passes
+/// on each continuation of a folded line as a field without a name.
 bool is_valid(http_response_head const& head)
 {
-    return is_final_status(head.status);
+    return is_final_status(head.status) &&
+           std::ranges::none_of(head.headers, [](auto const& it) { return it.first.empty(); });
 }
 
 /// h2o keeps the connection after a complete response, whatever its callback returns. It closes one
--- a/tests/gateway_upstream_faults.cpp
+++ b/tests/gateway_upstream_faults.cpp
@@ -275,3 +275,22 @@
             });
     }
 }
+
+// An upstream sends a head in which the name of a field holds a blank or a control byte. Guards
+// against a client that gets that line, or a body that was framed without it.
+Test(gateway_upstream_faults, a_field_name_with_a_blank_or_control_byte_is_no_answer)
+{
+    using namespace std::string_literals;
+    for (auto const& line :
+         {"X-Odd : 1"s,
+          "X Odd: 1"s,
+          " X-Odd: 1"s,
+          "X-Odd\x01: 1"s,
+          "X-Odd\0: 1"s,
+          "Content-Length : 1"s,
+          "Transfer-Encoding\t: chunked"s})
+    {
+        check_no_answer([&](std::string const& id)
+                        { return signed_head(id) + line + "\r\nContent-Length: 2\r\n\r\nok"; });
+    }
+}
--- a/tests/http.cpp
+++ b/tests/http.cpp
@@ -294,6 +294,31 @@
     }
 }
 
+// Guards against a head with a field name that no field can have: it would be passed on, or frame
+// the body in another way than the server did.
+Test(http, a_field_name_with_a_blank_or_control_byte_is_an_error)
+{
+    using namespace std::string_literals;
+    for (auto const& line :
+         {"X-A : 1"s,
+          "X A: 1"s,
+          "X\tA: 1"s,
+          " X-A: 1"s,
+          "X-A\x01: 1"s,
+          "X\0A: 1"s,
+          "X\rA: 1"s,
+          "X-A\x7f: 1"s,
+          ": 1"s,
+          "Content-Length : 2"s,
+          "X-A: 1\r\n Content-Length: 2"s,
+          "X-A: 1\r\n\tfolded"s})
+    {
+        auto const result =
+            fetch_raw("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 4\r\n\r\nokok", false);
+        cr_assert_eq(code_of(result), result_code::upstream_lost, "%s", line.c_str());
+    }
+}
+
 // A server sends a malformed but whole response on a connection that is kept. Guards against the
 // next request on that connection.
 Test(http, a_connection_that_carried_a_malformed_response_is_not_reused)
--- a/tests/http1.cpp
+++ b/tests/http1.cpp
@@ -263,6 +263,33 @@
     }
 }
 
+// Guards against a head with a field name that no field can have: it would be passed on, or frame
+// the body in another way than the upstream did.
+Test(outbound_connection, a_field_name_with_a_blank_or_control_byte_is_malformed)
+{
+    using namespace std::string_literals;
+    for (auto const& line :
+         {"X-A : 1"s,
+          "X A: 1"s,
+          "X\tA: 1"s,
+          " X-A: 1"s,
+          "X-A\x01: 1"s,
+          "X\0A: 1"s,
+          "X\rA: 1"s,
+          "X-A\x7f: 1"s,
+          ": 1"s,
+          "Content-Length : 2"s,
+          "Content-Length\x0b: 2"s,
+          "Transfer-Encoding : chunked"s,
+          "X-A: 1\r\n Content-Length: 2"s})
+    {
+        client_fixture it("HTTP/1.1 200 OK\r\n" + line + "\r\nContent-Length: 4\r\n\r\nokok");
+        it.exchange(true);
+        cr_assert(*it.outcome == exchange_outcome::malformed, "%s", line.c_str());
+        cr_assert(it.heads.empty(), "%s", line.c_str());
+    }
+}
+
 // Guards against taking surplus bytes after a response as the next response.
 Test(outbound_connection, is_not_reusable_after_surplus_bytes)
 {
