Http: Take a head that frames its body in two ways for no answer

Callers of the agent could see: a body that ends where the upstream did not end it. Found beside the folded lines; the gateway refuses such heads.

Cause: of two lengths, or a length and a coding, h2o's client takes one.

Evidence: http.a_head_that_frames_its_body_in_two_ways_is_an_error fails on the untouched code at two lengths that differ.

Change: such a head is malformed, as in the gateway. The same length twice is still accepted.

After: the test passes.

--- a/libraries/http/src/client_call.cpp
+++ b/libraries/http/src/client_call.cpp
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace almondcart {
@@ -34,12 +35,35 @@
            info.tcpi_state == TCP_CLOSE_WAIT;
 }
 
+/// Whether the headers state the end of the body in two ways, of which h2o would choose one.
+bool has_ambiguous_framing(http_headers const& headers)
+{
+    std::optional<std::string_view> length;
+    bool has_coding = false;
+    for (auto const& [name, value] : headers)
+    {
+        if (equals_ignoring_ascii_case(name, "content-length"))
+        {
+            if (length && *length != value)
+                return true;
+            length = value;
+        }
+        else if (equals_ignoring_ascii_case(name, "transfer-encoding"))
+        {
+            if (std::exchange(has_coding, true))
+                return true;
+        }
+    }
+    return length && has_coding;
+}
+
 /// Whether a parsed head is one of a final response. h2o takes any number for a status, and passes
 /// on each continuation of a folded line as a field without a name.
 bool is_valid(http_response_head const& head)
 {
     return is_final_status(head.status) &&
-           std::ranges::none_of(head.headers, [](auto const& it) { return it.first.empty(); });
+           std::ranges::none_of(head.headers, [](auto const& it) { return it.first.empty(); }) &&
+           !has_ambiguous_framing(head.headers);
 }
 
 /// h2o keeps the connection after a complete response, whatever its callback returns. It closes one
--- a/tests/http.cpp
+++ b/tests/http.cpp
@@ -319,6 +319,24 @@
     }
 }
 
+// Guards against a body that ends where the server did not end it, because its head states two
+// ends.
+Test(http, a_head_that_frames_its_body_in_two_ways_is_an_error)
+{
+    for (std::string const lines :
+         {"Content-Length: 2\r\nContent-Length: 4\r\n",
+          "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n"})
+    {
+        auto const result =
+            fetch_raw("HTTP/1.1 200 OK\r\n" + lines + "\r\n2\r\nok\r\n0\r\n\r\n", false);
+        cr_assert_eq(code_of(result), result_code::upstream_lost, "%s", lines.c_str());
+    }
+    cr_assert(
+        fetch_raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok", false)
+            .ok());
+}
+
 // A server sends a malformed but whole response on a connection that is kept. Guards against the
 // next request on that connection.
 Test(http, a_connection_that_carried_a_malformed_response_is_not_reused)
