Http1: Tell a reset during an upload from the end of a response

Callers saw (gateway): an upstream answers a long upload at once with a 200 without a length, sends a part of the body and resets the connection. They got that part as a complete answer, with the upstream's seal.

Cause: the kernel reports a reset once. While the upload is being written, the failed write gets the report, and the next read says 0 bytes, as at an orderly end. The read is handled first, so the connection ended as closed by the peer, which completes a body without a length.

Evidence, on the untouched code: outbound_connection.a_reset_during_an_upload_leaves_the_response_incomplete and gateway_upstream_faults.a_reset_during_an_upload_is_no_complete_answer ("safe" was whole with status 200) fail.

Ruled out: h2o's client reads only after it has written, and asked the kernel before; http.a_reset_during_an_upload_is_an_error passes on the untouched code and stays.

Change: when a read reports the end, the connection's state decides: after a reset or a time-out it is closed, after an orderly end it waits for this side to close. Both clients share the function. The state is kept whichever call was told of the reset first, so the order of reads and writes does not matter.

After: these tests pass, and those of bodies that end with their connection.

--- a/libraries/http/src/client_call.cpp
+++ b/libraries/http/src/client_call.cpp
@@ -1,12 +1,11 @@
 #include "client_call.hpp"
 
 #include <almondcart/core/status.hpp>
+#include <almondcart/http/connection_end.hpp>
 #include <almondcart/http/response_status.hpp>
 
 #include <absl/strings/cord.h>
 #include <absl/strings/str_cat.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -26,15 +25,6 @@
     return status;
 }
 
-/// Whether the peer has closed the connection in order, so that no byte is missing.
-bool is_closed_by_peer(int fd)
-{
-    tcp_info info{};
-    socklen_t size = sizeof(info);
-    return getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
-           info.tcpi_state == TCP_CLOSE_WAIT;
-}
-
 /// Whether the headers state the end of the body in two ways, of which h2o would choose one.
 bool has_ambiguous_framing(http_headers const& headers)
 {
@@ -318,9 +308,8 @@
     // last chunk arrives together with bytes, the end of a closed connection without.
     bool const is_cut_between_chunks = self->is_chunked_ && native->sock->bytes_read == 0;
     // It also reports a body without a length as complete when the connection is reset.
-    bool const is_reset =
-        self->ends_with_connection_ && !is_closed_by_peer(h2o_socket_get_fd(native->sock));
-    if (is_complete && (is_cut_between_chunks || is_reset))
+    bool const was_reset = self->ends_with_connection_ && is_reset(h2o_socket_get_fd(native->sock));
+    if (is_complete && (is_cut_between_chunks || was_reset))
     {
         self->native_ = nullptr;
         self->fail("response is incomplete");
--- a/libraries/http1/src/byte_stream.cpp
+++ b/libraries/http1/src/byte_stream.cpp
@@ -1,3 +1,4 @@
+#include <almondcart/http/connection_end.hpp>
 #include <almondcart/http1/byte_stream.hpp>
 
 #include <h2o.h>
@@ -124,6 +125,13 @@
             on_end(reason);
     }
 
+    /// Handles a read that reported the end of the connection.
+    void end_input()
+    {
+        bool const is_complete = !is_reset(h2o_socket_get_fd(socket));
+        end(is_complete ? close_reason::closed_by_peer : close_reason::failed);
+    }
+
     void flush()
     {
         if (!is_connected || socket == nullptr || is_writing)
@@ -200,9 +208,10 @@
         auto const self = of(socket).shared_from_this();
         if (error != nullptr)
         {
-            self->end(
-                error == h2o_socket_error_closed ? close_reason::closed_by_peer
-                                                 : close_reason::failed);
+            if (error == h2o_socket_error_closed)
+                self->end_input();
+            else
+                self->end(close_reason::failed);
             return;
         }
         auto const limit = self->hooks.read_limit ? self->hooks.read_limit() : read_piece_bytes;
@@ -217,7 +226,7 @@
         if (n <= 0)
         {
             if (n == 0)
-                self->end(close_reason::closed_by_peer);
+                self->end_input();
             else if (errno != EAGAIN && errno != EINTR)
                 self->end(close_reason::failed);
             return;
--- a/tests/gateway_upstream_faults.cpp
+++ b/tests/gateway_upstream_faults.cpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <tuple>
 
+#include "support/faulty_server.hpp"
 #include "support/scripted_fixture.hpp"
 
 using namespace almondcart;
@@ -294,3 +295,40 @@
                         { return signed_head(id) + line + "\r\nContent-Length: 2\r\n\r\nok"; });
     }
 }
+
+// An upstream answers a long upload at once without a length, sends a part of the body and resets
+// the connection while the upload is still being written. Guards against a client that gets that
+// part as a complete answer.
+Test(gateway_upstream_faults, a_reset_during_an_upload_is_no_complete_answer)
+{
+    gateway_fixture it;
+    std::string content;
+    faulty_server upstream(
+        it.loop,
+        [&](std::string const& beginning)
+        {
+            auto const id = scripted_upstream::request_id(beginning);
+            return faulty_server::reply{signed_head(id) + "\r\n" + content, {}};
+        });
+    it.configure(1, 1'000'000);
+    it.store.put(
+        "keyed.servers", "i-1", it.first.registry_entry("models", "ready", upstream.address()));
+    it.wait_until_ready();
+    std::string const body(3'500'000, 'x');
+    for (std::string const kind : {"safe", "unsafe", "stream", "resume"})
+    {
+        bool const is_stream = kind == "stream" || kind == "resume";
+        content = is_stream ? events(1, 3) : "part of the answer";
+        auto const response = it.send(
+            it.listen,
+            "POST",
+            "/" + kind + "/x",
+            gateway_fixture::client_headers("r-" + kind),
+            body);
+        it.run_until([&] { return response->end.has_value(); });
+        bool const is_whole = response->is_complete() && response->head.status == 200;
+        cr_assert_not(is_whole, "%s", kind.c_str());
+        if (!is_stream)
+            cr_assert_neq(response->head.status, 200, "%s", kind.c_str());
+    }
+}
--- a/tests/http.cpp
+++ b/tests/http.cpp
@@ -16,7 +16,10 @@
 #include <string>
 #include <vector>
 
+#include "support/faulty_server.hpp"
+
 using namespace almondcart;
+using namespace almondcart::test_support;
 
 namespace {
 
@@ -378,6 +381,28 @@
         loop.unwatch(it);
 }
 
+// The server answers a long upload at once without a length, and resets the connection while the
+// upload is still being written. Guards against a part of a response that counts as the whole.
+Test(http, a_reset_during_an_upload_is_an_error)
+{
+    event_loop loop;
+    http_client client(loop);
+    faulty_server server(
+        loop,
+        [](std::string const&) {
+            return faulty_server::reply{"HTTP/1.1 200 OK\r\n\r\npart of the answer", {}};
+        });
+    http_request request;
+    request.address = server.address();
+    request.method = "POST";
+    request.body = std::string(std::size_t{20} * 1024 * 1024, 'x');
+    received_response response;
+    client.request(std::move(request), collect(response));
+    loop.run_until([&] { return response.is_done(); });
+    cr_assert_eq(code_of(*response.result), result_code::upstream_lost);
+    cr_assert_not(is_request_unsent(*response.result));
+}
+
 // Guards against clients receiving each other's responses when these complete out of order.
 Test(http, responses_out_of_order_reach_their_clients)
 {
--- a/tests/http1_limits.cpp
+++ b/tests/http1_limits.cpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "support/faulty_server.hpp"
 #include "support/http1_fixture.hpp"
 
 using namespace almondcart;
@@ -223,6 +224,30 @@
     cr_assert_not(is_reusable);
 }
 
+// The server answers a long upload at once without a length, and resets the connection while the
+// upload is still being written. The failed write learns of the reset, and the next read reports an
+// ordinary end. Guards against a part of a response that counts as the whole.
+Test(outbound_connection, a_reset_during_an_upload_leaves_the_response_incomplete)
+{
+    event_loop loop;
+    faulty_server server(
+        loop,
+        [](std::string const&) {
+            return faulty_server::reply{"HTTP/1.1 200 OK\r\n\r\npart of the answer", {}};
+        });
+    outbound_connection connection(loop, *socket_address::parse(server.address()));
+    auto const body = std::make_shared<std::string>(20 * megabyte, 'x');
+    std::string received;
+    std::optional<exchange_outcome> outcome;
+    outbound_connection::exchange_callbacks callbacks;
+    callbacks.on_body = [&](std::string_view data) { received += data; };
+    callbacks.on_end = [&](exchange_outcome it) { outcome = it; };
+    connection.send("POST", post(body->size()), *body, body, std::move(callbacks));
+    loop.run_until([&] { return outcome.has_value(); });
+    cr_assert_eq(received, "part of the answer");
+    cr_assert(*outcome == exchange_outcome::broken_off);
+}
+
 // Guards against bytes that overtake a part written without a copy, or replace it.
 Test(byte_stream, bytes_behind_a_shared_part_follow_it)
 {
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -109,7 +109,8 @@
         std::string const& address,
         std::string const& method,
         std::string const& path,
-        http_headers headers = {})
+        http_headers headers = {},
+        std::string const& body = {})
     {
         auto const response = std::make_shared<client_response>();
         auto const connection =
@@ -126,7 +127,8 @@
         headers.emplace_back("Host", "club.example");
         std::string text = method + " " + path + " HTTP/1.1\r\n";
         http1::append_headers(text, headers);
-        connection->send(method, text + "Content-Length: 0\r\n\r\n", std::move(callbacks));
+        text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
+        connection->send(method, text + body, std::move(callbacks));
         return response;
     }
 
--- a/tests/support/scripted_upstream.cpp
+++ b/tests/support/scripted_upstream.cpp
@@ -14,8 +14,9 @@
 
 constexpr duration closing_delay{20};
 
-/// Returns the value of the request id's header in the head of a request.
-std::string request_id(std::string_view head)
+} // namespace
+
+std::string scripted_upstream::request_id(std::string_view head)
 {
     constexpr std::string_view name = "X-Almondcart-Request-Id:";
     auto const start = head.find(name);
@@ -25,8 +26,6 @@
     return std::string(trim(value.substr(0, value.find("\r\n"))));
 }
 
-} // namespace
-
 scripted_upstream::scripted_upstream(event_loop& loop, script script)
     : loop_(loop)
     , script_(std::move(script))
--- a/tests/support/scripted_upstream.hpp
+++ b/tests/support/scripted_upstream.hpp
@@ -33,6 +33,9 @@
 
     std::string const& address() const { return address_; }
 
+    /// Returns the id in the head of a request, or nothing if it has none.
+    static std::string request_id(std::string_view head);
+
     /// Number of requests received, by id.
     std::map<std::string, int> const& request_counts() const { return request_counts_; }
 
