Http: End a response whose head or body does not end

Reported by other operators: a faulty upstream sends bytes that are no answer without end, the caller keeps them all and runs out of memory.

Callers here could see: an agent beside such an upstream is killed with all its calls, or never ends the call; so could a router, relay or gateway that calls an address which such a server has taken over.

Cause: h2o's client keeps an incomplete head without a limit and tells nobody. Interim responses, chunk extensions and trailers are dropped, but each batch of them started the time-out anew, and work that must not be repeated has none. Bodies had only the limits of some callers: JSON-RPC results, pages of the log, the VM list and the command line kept everything.

Evidence, on the untouched code: service_client.heads_without_end_fail_within_the_memory: 345,404 kB after one second of 24 heads, 64,000 allowed; http.a_response_without_end_is_an_error: the call with an endless field does not end in 5 s.

Change: the client ends a call at 64 KiB of head, which it checks after each round of events, because h2o has no callback there; at 8 interim responses; at 64 KiB that only frame a body; and at `body_limit_bytes`. That is 64 MiB if the caller does not say otherwise, 64 KiB for small answers of upstreams and of other gateways, and no limit where the caller keeps no more than it has to (work, streams). What is kept is then bounded whatever the server sends.

After: both tests pass.

--- a/libraries/http/include/almondcart/http/event_loop.hpp
+++ b/libraries/http/include/almondcart/http/event_loop.hpp
@@ -55,6 +55,11 @@
     /// Calls `callback` in the next round of events.
     void post(std::function<void()> callback) { after(duration(0), std::move(callback)); }
 
+    /// Calls `callback` after each round of events until `end_after_each_round(owner)`, which the
+    /// callback itself may not call.
+    void after_each_round(void const* owner, std::function<void()> callback);
+    void end_after_each_round(void const* owner);
+
     /// Calls `callback` for each SIGTERM or SIGINT instead of the default action.
     void on_stop_signal(std::function<void()> callback);
 
@@ -90,6 +95,7 @@
     std::map<timer_key, std::shared_ptr<detail::timer_entry>> timers_;
     std::map<st_h2o_socket_t*, std::unique_ptr<std::function<void()>>> watches_;
     std::map<void const*, std::shared_ptr<void>> retained_;
+    std::map<void const*, std::function<void()>> round_callbacks_;
     std::function<void()> stop_signal_callback_;
     std::function<void()> reload_signal_callback_;
 };
--- a/libraries/http/include/almondcart/http/http_client.hpp
+++ b/libraries/http/include/almondcart/http/http_client.hpp
@@ -6,6 +6,7 @@
 
 #include <absl/status/status.h>
 
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <memory>
@@ -31,6 +32,9 @@
     duration first_byte_timeout{30'000}; ///< from the connection to the head of the response
     duration idle_timeout{30'000};       ///< between two parts of the body
 
+    /// Largest body of the response; 0: no limit, for a caller that limits what it keeps itself.
+    std::size_t body_limit_bytes = std::size_t{64} * 1024 * 1024;
+
     /// Whether an idle connection may be reused. A server may close such a connection while the
     /// request is under way, and it is then unknown whether the request ran.
     bool is_connection_reusable = true;
@@ -78,7 +82,8 @@
 ///
 /// Errors passed to `on_done`: `no_upstream` if no byte of the request was sent, because the
 /// connection was refused or not established in time; `upstream_lost` for everything later, in
-/// which case the request may have run; `internal_error` for an invalid address.
+/// which case the request may have run; `internal_error` for an invalid address. A response that is
+/// malformed, or whose head or body is too large, counts as lost, and its connection is closed.
 class http_client
 {
 public:
--- a/libraries/http/include/almondcart/http/json_rpc_client.hpp
+++ b/libraries/http/include/almondcart/http/json_rpc_client.hpp
@@ -6,6 +6,7 @@
 #include <absl/status/statusor.h>
 #include <json/json.h>
 
+#include <cstddef>
 #include <functional>
 #include <string>
 
@@ -17,8 +18,13 @@
 public:
     using result_callback = std::function<void(absl::StatusOr<Json::Value>)>;
 
-    /// The client and the journal must outlive this object and its calls.
-    json_rpc_client(event_loop& loop, http_client& client, event_journal& journal);
+    /// The client and the journal must outlive this object and its calls. A response may have
+    /// `response_limit_bytes`.
+    json_rpc_client(
+        event_loop& loop,
+        http_client& client,
+        event_journal& journal,
+        std::size_t response_limit_bytes = std::size_t{64} * 1024 * 1024);
 
     /// Calls `method` of the process at `address`. `callback` receives its result, the status the
     /// method failed with, or an error of `http_client`: `upstream_lost` if there is no complete
@@ -35,6 +41,7 @@
     event_loop& loop_;
     http_client& client_;
     event_journal& journal_;
+    std::size_t response_limit_bytes_;
 };
 
 } // namespace almondcart
--- a/libraries/http/src/client_call.cpp
+++ b/libraries/http/src/client_call.cpp
@@ -16,6 +16,15 @@
 
 namespace {
 
+/// Maximum length of a response head, in bytes.
+constexpr std::size_t response_head_limit = std::size_t{64} * 1024;
+
+/// Maximum number of bytes that frame a body, between two parts of it or after the last one.
+constexpr std::size_t framing_limit = std::size_t{64} * 1024;
+
+/// Maximum number of interim responses before the final one.
+constexpr int interim_response_limit = 8;
+
 constexpr absl::string_view unsent_payload_url = "almondcart/request-unsent";
 
 absl::Status unsent_status(std::string const& detail)
@@ -158,6 +167,23 @@
         h2o_http1client_cancel(std::exchange(native_, nullptr));
 }
 
+void client_call::check_head_size()
+{
+    if (native_ == nullptr || native_->sock->input->size <= response_head_limit)
+        return;
+    // In the next round, because the callback of the call may destroy the client, which checks its
+    // other calls now.
+    client_->loop.post(
+        [weak = weak_from_this()]
+        {
+            auto const self = weak.lock();
+            if (self == nullptr || self->native_ == nullptr)
+                return;
+            self->close_connection();
+            self->fail("response head is too large");
+        });
+}
+
 void client_call::cancel()
 {
     if (client_ == nullptr)
@@ -175,6 +201,7 @@
     timeout_.cancel();
     auto const protector = shared_from_this();
     auto& client = *std::exchange(client_, nullptr);
+    client.awaiting_head.erase(this);
     if (pool_ != nullptr)
     {
         pool_->end_call(client.loop.now());
@@ -213,6 +240,8 @@
         return nullptr;
     }
     self->is_sent_ = true;
+    self->client_->awaiting_head.insert(self.get());
+    native->informational_cb = on_interim_response;
     self->set_timeout(self->request_.first_byte_timeout, "no response in time");
     auto const& body = self->request_.body;
     self->buffers_[0] = h2o_iovec_init(self->head_.data(), self->head_.size());
@@ -223,6 +252,22 @@
     return on_head;
 }
 
+int client_call::on_interim_response(
+    h2o_http1client_t* native,
+    int /*minor_version*/,
+    int /*status*/,
+    h2o_iovec_t /*message*/,
+    h2o_header_t* /*headers*/,
+    std::size_t /*header_count*/)
+{
+    auto const self = static_cast<client_call*>(native->data)->shared_from_this();
+    if (++self->interim_response_count_ <= interim_response_limit)
+        return 0;
+    self->native_ = nullptr;
+    self->fail("too many interim responses");
+    return -1;
+}
+
 h2o_http1client_body_cb client_call::on_head(
     h2o_http1client_t* native,
     char const* error,
@@ -234,6 +279,7 @@
     int /*head_size*/)
 {
     auto const self = static_cast<client_call*>(native->data)->shared_from_this();
+    self->client_->awaiting_head.erase(self.get());
     bool const is_complete = error == h2o_http1client_error_is_eos;
     if (error != nullptr && !is_complete)
     {
@@ -281,6 +327,14 @@
     return on_body;
 }
 
+bool client_call::count_received(std::size_t body_bytes, std::size_t all_bytes)
+{
+    auto const limit = request_.body_limit_bytes;
+    body_bytes_ += body_bytes;
+    framing_bytes_ = body_bytes != 0 ? 0 : framing_bytes_ + all_bytes;
+    return (limit == 0 || body_bytes_ <= limit) && framing_bytes_ <= framing_limit;
+}
+
 bool client_call::receive_body()
 {
     auto& input = native_->sock->input;
@@ -315,6 +369,14 @@
         self->fail("response is incomplete");
         return -1;
     }
+    auto const size = native->sock->input->size;
+    if (!self->count_received(size, native->sock->bytes_read))
+    {
+        prevent_reuse(*native);
+        self->native_ = nullptr;
+        self->fail("response is too large");
+        return -1;
+    }
     bool const is_continued = self->receive_body();
     if (!is_continued || is_complete)
         self->native_ = nullptr;
@@ -322,7 +384,7 @@
         return -1;
     if (is_complete)
         self->end(absl::OkStatus());
-    else
+    else if (size != 0)
         self->set_timeout(self->request_.idle_timeout, "response stopped");
     return 0;
 }
--- a/libraries/http/src/client_call.hpp
+++ b/libraries/http/src/client_call.hpp
@@ -25,6 +25,9 @@
     void start();
     void cancel();
 
+    /// Ends the call if more has arrived of its head than a head may have.
+    void check_head_size();
+
 private:
     static h2o_http1client_head_cb on_connect(
         h2o_http1client_t* native,
@@ -32,6 +35,13 @@
         h2o_iovec_t** buffers,
         std::size_t* buffer_count,
         int* is_head_method);
+    static int on_interim_response(
+        h2o_http1client_t* native,
+        int minor_version,
+        int status,
+        h2o_iovec_t message,
+        h2o_header_t* headers,
+        std::size_t header_count);
     static h2o_http1client_body_cb on_head(
         h2o_http1client_t* native,
         char const* error,
@@ -48,6 +58,9 @@
     void close_connection();
     void end(absl::Status status);
     void fail(std::string_view detail);
+
+    /// Counts bytes received in or around the body. Returns false if there are too many.
+    bool count_received(std::size_t body_bytes, std::size_t all_bytes);
     bool receive_body();
 
     http_client::state* client_; ///< null after the call has ended
@@ -58,6 +71,9 @@
     std::string head_;
     h2o_iovec_t buffers_[2]{};
     timer timeout_;
+    std::size_t body_bytes_ = 0;    ///< received so far
+    std::size_t framing_bytes_ = 0; ///< received since the last part of the body
+    int interim_response_count_ = 0;
     bool is_starting_ = false;
     bool is_sent_ = false;   ///< bytes of the request may have been sent
     bool is_in_h2o_ = false; ///< in an h2o callback; a negative result closes the connection
--- a/libraries/http/src/event_loop.cpp
+++ b/libraries/http/src/event_loop.cpp
@@ -83,6 +83,8 @@
     bool const has_run = run_due_timers();
     auto const wait = has_run ? duration(0) : wait_time(wait_limit);
     h2o_evloop_run(loop_, static_cast<std::int32_t>(wait.count()));
+    for (auto const& [owner, callback] : round_callbacks_)
+        callback();
 }
 
 duration event_loop::wait_time(duration wait_limit) const
@@ -151,6 +153,16 @@
     return has_run;
 }
 
+void event_loop::after_each_round(void const* owner, std::function<void()> callback)
+{
+    round_callbacks_.emplace(owner, std::move(callback));
+}
+
+void event_loop::end_after_each_round(void const* owner)
+{
+    round_callbacks_.erase(owner);
+}
+
 void event_loop::on_stop_signal(std::function<void()> callback)
 {
     bool const is_watched = stop_signal_callback_ != nullptr;
--- a/libraries/http/src/http_client.cpp
+++ b/libraries/http/src/http_client.cpp
@@ -26,10 +26,12 @@
     context.loop = loop.native();
     context.io_timeout = &io_timeout;
     idle_pool_timer = loop.every(idle_pool_timeout / 2, [this] { remove_idle_pools(); });
+    loop.after_each_round(this, [this] { check_heads(); });
 }
 
 http_client::state::~state()
 {
+    loop.end_after_each_round(this);
     idle_pool_timer.cancel();
     while (!calls.empty())
     {
@@ -60,6 +62,13 @@
         pools, [now](auto const& it) { return it.second->is_idle(now, idle_pool_timeout); });
 }
 
+void http_client::state::check_heads()
+{
+    // h2o keeps an incomplete head without a limit and tells nobody of it.
+    for (auto* const call : awaiting_head)
+        call->check_head_size();
+}
+
 http_client::http_client(event_loop& loop)
     : state_(std::make_unique<state>(loop))
 {}
--- a/libraries/http/src/json_rpc_client.cpp
+++ b/libraries/http/src/json_rpc_client.cpp
@@ -62,10 +62,15 @@
 
 } // namespace
 
-json_rpc_client::json_rpc_client(event_loop& loop, http_client& client, event_journal& journal)
+json_rpc_client::json_rpc_client(
+    event_loop& loop,
+    http_client& client,
+    event_journal& journal,
+    std::size_t response_limit_bytes)
     : loop_(loop)
     , client_(client)
     , journal_(journal)
+    , response_limit_bytes_(response_limit_bytes)
 {}
 
 http_call json_rpc_client::call(
@@ -90,6 +95,7 @@
     request.connect_timeout = timeout;
     request.first_byte_timeout = duration(0);
     request.idle_timeout = duration(0);
+    request.body_limit_bytes = response_limit_bytes_;
 
     http_callbacks callbacks;
     callbacks.on_headers = [&journal = journal_, state](http_response_head const& head)
--- a/services/agent/call_table.cpp
+++ b/services/agent/call_table.cpp
@@ -41,6 +41,8 @@
     request.headers = {{"Content-Type", work.content_type}, {"Idempotency-Key", work.request.key}};
     request.body = work.body;
     request.is_connection_reusable = false;
+    // The callers limit what they keep, and a stream may be long.
+    request.body_limit_bytes = 0;
     // Non-idempotent work has no timeout, because its outcome would be lost.
     request.first_byte_timeout = work.is_idempotent ? first_byte_timeout : duration(0);
     request.idle_timeout = work.is_idempotent ? idle_timeout : duration(0);
--- a/services/agent/load_poller.cpp
+++ b/services/agent/load_poller.cpp
@@ -29,12 +29,9 @@
     request.path = "/load";
     request.first_byte_timeout = load_timeout;
     request.idle_timeout = load_timeout;
+    request.body_limit_bytes = body_limit_bytes;
     http_callbacks callbacks;
-    callbacks.on_body = [this](std::string_view text)
-    {
-        if (body_.size() + text.size() <= body_limit_bytes)
-            body_ += text;
-    };
+    callbacks.on_body = [this](std::string_view text) { body_ += text; };
     callbacks.on_done = [this](absl::Status const& status) { handle_response(status); };
     call_ = client_.request(std::move(request), std::move(callbacks));
 }
--- a/services/agent/order_forwarder.cpp
+++ b/services/agent/order_forwarder.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr std::size_t body_limit_bytes = 65'536;
+
 absl::StatusOr<std::int64_t> read_fencing_number(Json::Value const& params)
 {
     json_reader reader(params, "order", result_code::malformed_request);
@@ -55,6 +57,7 @@
     request.headers = {{"Content-Type", "application/json"}};
     request.body = to_compact_json(params);
     request.is_connection_reusable = false;
+    request.body_limit_bytes = body_limit_bytes;
     auto const http_status = std::make_shared<int>(0);
     http_callbacks callbacks;
     callbacks.on_headers = [http_status](http_response_head const& head)
--- a/services/agent/upstream_probe.cpp
+++ b/services/agent/upstream_probe.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr duration probe_timeout{1'000};
+constexpr std::size_t body_limit_bytes = 65'536;
 
 } // namespace
 
@@ -30,6 +31,7 @@
     request.path = "/healthz";
     request.first_byte_timeout = probe_timeout;
     request.idle_timeout = probe_timeout;
+    request.body_limit_bytes = body_limit_bytes;
     request.is_connection_reusable = false;
     http_callbacks callbacks;
     callbacks.on_done = [this](absl::Status const& status)
--- a/services/gateway/token_transfer_rpc.cpp
+++ b/services/gateway/token_transfer_rpc.cpp
@@ -23,6 +23,9 @@
 /// A gateway normally responds within milliseconds, and client requests wait for the response.
 constexpr duration response_timeout{250};
 
+/// A response holds two numbers.
+constexpr std::size_t response_limit_bytes = 65'536;
+
 Json::Value encode(token_request const& request)
 {
     Json::Value value(Json::objectValue);
@@ -77,7 +80,7 @@
     , journal_(
           {own_vm, std::to_string(system_clock_source::wall_time_ms())},
           system_clock_source::wall_time_ms)
-    , rpc_(loop, client, journal_)
+    , rpc_(loop, client, journal_, response_limit_bytes)
     , exchange_({}, std::move(own_vm), create_hooks())
 {}
 
--- a/services/router/work_call.cpp
+++ b/services/router/work_call.cpp
@@ -45,6 +45,8 @@
     // A reused connection can close while the request is under way, and it would be unknown whether
     // the attempt ran.
     request.is_connection_reusable = false;
+    // Output may be long, and only an incomplete line is kept.
+    request.body_limit_bytes = 0;
 
     http_callbacks callbacks;
     callbacks.on_headers = [call, &journal](http_response_head const& head)
--- a/tests/agent.cpp
+++ b/tests/agent.cpp
@@ -16,6 +16,7 @@
 #include "server_sent_event_parser.hpp"
 #include "service_client.hpp"
 #include "support/faulty_server.hpp"
+#include "support/process_memory.hpp"
 
 using namespace almondcart;
 using namespace almondcart::test_support;
@@ -203,6 +204,63 @@
     cr_assert(!fixture.failure);
 }
 
+namespace {
+
+/// Sends several calls at once to an upstream that replies without end, and checks that each fails
+/// and that the process stays within the memory of the smallest machine for agents.
+template<class Client>
+void check_responses_without_end(std::string const& begin, std::string const& repeated)
+{
+    constexpr int call_count = 24;
+    constexpr int memory_mb = 64;
+    constexpr duration time_limit{20'000};
+    event_loop loop;
+    http_client client(loop);
+    faulty_server server(
+        loop,
+        [&](std::string const&) {
+            return faulty_server::reply{begin, repeated};
+        });
+    agent_settings settings;
+    settings.upstream_address = server.address();
+    settings.memory_mb = memory_mb;
+    settings.first_byte_timeout = duration(1'000);
+    settings.idle_timeout = duration(1'000);
+    Client upstream(settings, client);
+    std::vector<call_failure> failures;
+    auto work = create_work();
+    work.is_idempotent = true;
+    for (int n = 1; n <= call_count; ++n)
+    {
+        upstream_events events;
+        events.output = [](std::string const&, token_count) {};
+        events.finished = [](upstream_response const&) { cr_assert_fail("a whole response"); };
+        events.failed = [&](std::string_view, call_failure it) { failures.push_back(it); };
+        events.not_started = [](std::string_view) { cr_assert_fail("a call that did not start"); };
+        upstream.start(static_cast<std::uint64_t>(n), work, std::move(events));
+    }
+    auto const end = loop.now() + time_limit;
+    loop.run_until([&] { return failures.size() == call_count || loop.now() >= end; });
+    cr_assert_eq(failures.size(), call_count, "%zu calls ended", failures.size());
+    auto const peak = peak_memory_kb();
+    cr_assert_gt(peak, 0);
+    cr_assert_lt(peak, memory_mb * 1000L, "peak memory %ld kB", peak);
+}
+
+std::string filler()
+{
+    return std::string(std::size_t{64} * 1024, 'x');
+}
+
+} // namespace
+
+// A service sends a head without end to many calls at once. Guards against an agent that keeps them
+// all and is killed with all its calls.
+Test(service_client, heads_without_end_fail_within_the_memory)
+{
+    check_responses_without_end<service_client>("HTTP/1.1 200 OK\r\nX-Odd: ", filler());
+}
+
 // An upstream replies with a status that no response can have. Guards against an agent that hands
 // it to the router as an answer.
 Test(service_client, a_status_that_no_response_can_have_is_a_failure)
--- a/tests/http.cpp
+++ b/tests/http.cpp
@@ -16,6 +16,7 @@
 #include <string>
 #include <vector>
 
+#include "support/endless_responses.hpp"
 #include "support/faulty_server.hpp"
 
 using namespace almondcart;
@@ -403,6 +404,43 @@
     cr_assert_not(is_request_unsent(*response.result));
 }
 
+// A server sends bytes without end, in a head or in a body, until the client closes. Guards against
+// a client that reads them as long as they come.
+Test(http, a_response_without_end_is_an_error)
+{
+    constexpr duration time_limit{5'000};
+    std::vector<endless_response> responses;
+    for (auto const& list : {endless_responses_without_content(), endless_bodies()})
+    {
+        for (auto const& it : list)
+            responses.push_back({it.name, "HTTP/1.1 200 OK\r\n" + it.begin, it.repeated});
+    }
+    responses.push_back({"reason phrase", "HTTP/1.1 200 ", repeat("xxxxxxxx")});
+    responses.push_back({"interim responses", "", repeat("HTTP/1.1 102 Processing\r\n\r\n")});
+    for (auto const& it : responses)
+    {
+        event_loop loop;
+        http_client client(loop);
+        faulty_server server(
+            loop,
+            [&](std::string const&) {
+                return faulty_server::reply{it.begin, it.repeated};
+            });
+        http_request request;
+        request.address = server.address();
+        // As for work that must not be repeated, whose outcome a timeout would lose.
+        request.first_byte_timeout = duration(0);
+        request.idle_timeout = duration(0);
+        request.body_limit_bytes = std::size_t{1024} * 1024;
+        received_response response;
+        client.request(std::move(request), collect(response));
+        auto const end = loop.now() + time_limit;
+        loop.run_until([&] { return response.is_done() || loop.now() >= end; });
+        cr_assert(response.is_done(), "%s", it.name.c_str());
+        cr_assert_eq(code_of(*response.result), result_code::upstream_lost, "%s", it.name.c_str());
+    }
+}
+
 // Guards against clients receiving each other's responses when these complete out of order.
 Test(http, responses_out_of_order_reach_their_clients)
 {
