Agent: Give up an answer that exceeds its limit at once

Callers saw: an upstream whose body does not end keeps its call, and its place in the gate, for as long as it sends. Several at once may take `answer_limit_bytes` each, 64 MB with the default of 8 calls, more than the agent may have. An error response of an engine above the limit was passed on without its end, or without a part in the middle.

Cause: the agent noted that the limit was passed, kept reading, and reported it only at the end. The limit is one of each call, not of their sum.

Change: the call is cancelled and fails as incomplete when the limit is passed. A sixth of `memory_mb` is for all answers that are being received; one may take half of what is free. Without `memory_mb` each call has its own limit alone, as before.

--- a/services/agent/agent_settings.cpp
+++ b/services/agent/agent_settings.cpp
@@ -3,6 +3,9 @@
 #include <almondcart/core/json_members.hpp>
 #include <almondcart/core/settings_file.hpp>
 
+#include <cstddef>
+#include <limits>
+
 namespace almondcart {
 
 namespace {
@@ -11,6 +14,12 @@
 constexpr std::int64_t byte_limit = 1'073'741'824;
 constexpr std::int64_t item_limit = 1'000'000;
 constexpr double memory_limit_mb = 1e7;
+constexpr double bytes_per_megabyte = 1e6;
+
+/// Share of the process's memory for responses that are being received. Retained output, clients
+/// and the program itself need the rest.
+constexpr double response_memory_share = 1.0 / 6;
+
 constexpr std::int64_t descriptor_limit = 10'000'000;
 
 upstream_kind read_kind(json_reader& reader)
@@ -45,6 +54,13 @@
 
 } // namespace
 
+std::size_t agent_settings::response_buffer_bytes() const
+{
+    if (memory_mb <= 0)
+        return std::numeric_limits<std::size_t>::max();
+    return static_cast<std::size_t>(memory_mb * bytes_per_megabyte * response_memory_share);
+}
+
 absl::StatusOr<agent_settings> agent_settings::load(std::string const& file)
 {
     auto const value = read_settings_file(file);
--- a/services/agent/agent_settings.hpp
+++ b/services/agent/agent_settings.hpp
@@ -45,6 +45,9 @@
     duration probe_interval{200};         ///< while the upstream is down
     duration shutdown_timeout{60'000};    ///< maximum duration of a graceful stop
 
+    /// Limit of all responses of the upstream together that are being received, in bytes.
+    std::size_t response_buffer_bytes() const;
+
     /// Reads a file and rejects unknown or missing members. Errors carry `invalid_settings`.
     static absl::StatusOr<agent_settings> load(std::string const& file);
 };
--- a/services/agent/engine_client.cpp
+++ b/services/agent/engine_client.cpp
@@ -31,6 +31,7 @@
 engine_client::engine_client(agent_settings const& settings, http_client& client)
     : settings_(settings)
     , client_(client)
+    , buffers_(std::make_shared<buffer_budget>(settings.response_buffer_bytes()))
 {}
 
 void engine_client::start(std::uint64_t call, dispatch const& work, upstream_events events)
@@ -44,11 +45,17 @@
     if (auto body = try_create_body(work))
         request.body = std::move(*body);
     auto const response = std::make_shared<engine_response>(
-        std::move(events), static_cast<std::size_t>(settings_.answer_limit_bytes));
+        std::move(events), static_cast<std::size_t>(settings_.answer_limit_bytes), buffers_);
     http_callbacks callbacks;
     callbacks.on_headers = [response](http_response_head const& head)
     { response->read_head(head); };
-    callbacks.on_body = [response](std::string_view text) { response->read_body(text); };
+    callbacks.on_body = [this, call, response](std::string_view text)
+    {
+        if (response->read_body(text))
+            return;
+        calls_.cancel(call);
+        response->end_too_large();
+    };
     callbacks.on_done = [response](absl::Status const& status) { response->end(status); };
     calls_.start(client_, call, std::move(request), std::move(callbacks));
 }
--- a/services/agent/engine_response.cpp
+++ b/services/agent/engine_response.cpp
@@ -29,9 +29,13 @@
 
 } // namespace
 
-engine_response::engine_response(upstream_events events, std::size_t answer_limit_bytes)
+engine_response::engine_response(
+    upstream_events events,
+    std::size_t answer_limit_bytes,
+    std::shared_ptr<buffer_budget> buffers)
     : events_(std::move(events))
     , limit_bytes_(answer_limit_bytes)
+    , account_(std::move(buffers))
     , event_parser_([this](std::string const& data) { read_event(data); })
 {}
 
@@ -41,13 +45,20 @@
     response_.content_type = find_header(head.headers, "content-type").value_or("");
 }
 
-void engine_response::read_body(std::string_view text)
+bool engine_response::read_body(std::string_view text)
 {
-    if (is_stream() && !is_too_large_)
+    if (is_stream())
         event_parser_.add(text);
-    else if (!is_stream() && response_.data.size() + text.size() <= limit_bytes_)
+    else
         response_.data += text;
-    is_too_large_ = is_too_large_ || event_parser_.pending_bytes() > limit_bytes_;
+    auto const held = is_stream() ? event_parser_.pending_bytes() : response_.data.size();
+    account_.resize(held);
+    return held <= limit_bytes_ && account_.allows(held);
+}
+
+void engine_response::end_too_large() const
+{
+    events_.failed("the response exceeds the size limit", call_failure::incomplete);
 }
 
 void engine_response::read_event(std::string const& data)
@@ -82,7 +93,7 @@
         report_error(status, events_);
         return;
     }
-    if (is_stream() && (!is_complete_ || is_too_large_))
+    if (is_stream() && !is_complete_)
     {
         events_.failed("the engine ended its response early", call_failure::incomplete);
         return;
--- a/services/agent/service_client.hpp
+++ b/services/agent/service_client.hpp
@@ -1,5 +1,9 @@
 #pragma once
 
+#include <almondcart/core/buffer_budget.hpp>
+
+#include <memory>
+
 #include "agent_settings.hpp"
 #include "call_table.hpp"
 #include "upstream_client.hpp"
@@ -19,6 +23,7 @@
 private:
     agent_settings const& settings_;
     http_client& client_;
+    std::shared_ptr<buffer_budget> buffers_;
     call_table calls_;
 };
 
--- a/tests/agent.cpp
+++ b/tests/agent.cpp
@@ -261,6 +261,24 @@
     check_responses_without_end<service_client>("HTTP/1.1 200 OK\r\nX-Odd: ", filler());
 }
 
+// The same, with a body.
+Test(service_client, bodies_without_end_fail_within_the_memory)
+{
+    check_responses_without_end<service_client>("HTTP/1.1 200 OK\r\n\r\n", filler());
+}
+
+// An engine sends an event without end to many calls at once.
+Test(engine_client, events_without_end_fail_within_the_memory)
+{
+    check_responses_without_end<engine_client>("HTTP/1.1 200 OK\r\n\r\ndata: ", filler());
+}
+
+// An engine sends an error response without end to many calls at once.
+Test(engine_client, errors_without_end_fail_within_the_memory)
+{
+    check_responses_without_end<engine_client>("HTTP/1.1 500 Odd\r\n\r\n", filler());
+}
+
 // An upstream replies with a status that no response can have. Guards against an agent that hands
 // it to the router as an answer.
 Test(service_client, a_status_that_no_response_can_have_is_a_failure)
