Http1: End a response of which only trailers or another body arrive

Looked for: bytes without end, in a head or in a body, from an upstream of the gateway.

Callers could see: slow answers beside such an upstream, because the gateway read trailers, or the body of a response to another request, at the upstream's speed until the deadline of the request.

Cause: each trailer line had a limit, their sum had none, and the body of a rejected response had none.

Evidence: outbound_connection.bytes_without_end_and_content_are_malformed fails on the untouched code at "trailer lines", which do not end in 5 s.

Change: 64 KiB of trailers and 1 MiB of rejected bodies in an exchange; beyond that the response is malformed.

After: both tests pass.

--- a/libraries/http1/include/almondcart/http1/message.hpp
+++ b/libraries/http1/include/almondcart/http1/message.hpp
@@ -80,6 +80,7 @@
     parse_result feed_length(std::string_view& data, std::string& content);
     parse_result feed_chunked(std::string_view& data, std::string& content);
     parse_result read_chunk_line(std::string_view line);
+    parse_result read_trailer_line(std::string_view line);
 
     enum class chunk_state
     {
@@ -93,6 +94,7 @@
     std::uint64_t remaining_ = 0; ///< bytes left in the body or chunk
     chunk_state chunk_state_ = chunk_state::size_line;
     std::string line_; ///< incomplete size or trailer line
+    std::size_t trailer_bytes_ = 0;
 };
 
 /// Whether a header applies to a single connection and must not be forwarded.
--- a/libraries/http1/src/message.cpp
+++ b/libraries/http1/src/message.cpp
@@ -47,6 +47,9 @@
 /// Maximum length of a chunk size or trailer line, in bytes.
 constexpr std::size_t chunk_line_limit = 4096;
 
+/// Maximum length of all trailer lines, in bytes.
+constexpr std::size_t trailer_limit = std::size_t{64} * 1024;
+
 using header_array = std::array<phr_header, header_count_limit>;
 
 /// Copies parsed headers. Returns false for a folded line, which parsers interpret differently.
@@ -254,7 +257,7 @@
 parse_result body_decoder::read_chunk_line(std::string_view line)
 {
     if (chunk_state_ == chunk_state::trailer)
-        return line.empty() ? parse_result::complete : parse_result::incomplete;
+        return read_trailer_line(line);
     if (chunk_state_ == chunk_state::content_end)
     {
         chunk_state_ = chunk_state::size_line;
@@ -270,6 +273,14 @@
     return parse_result::incomplete;
 }
 
+parse_result body_decoder::read_trailer_line(std::string_view line)
+{
+    if (line.empty())
+        return parse_result::complete;
+    trailer_bytes_ += line.size();
+    return trailer_bytes_ <= trailer_limit ? parse_result::incomplete : parse_result::malformed;
+}
+
 bool is_hop_by_hop_header(std::string_view name)
 {
     static constexpr std::array<std::string_view, 9> names{
--- a/libraries/http1/src/outbound_connection.cpp
+++ b/libraries/http1/src/outbound_connection.cpp
@@ -15,6 +15,9 @@
 /// Response heads of one exchange: its own, and interim and rejected ones before it.
 constexpr int received_head_limit = 8;
 
+/// Maximum length of the bodies of rejected responses before the own one, in bytes.
+constexpr std::size_t rejected_body_limit = std::size_t{1024} * 1024;
+
 std::optional<int> parse_keep_alive(http_headers const& headers)
 {
     auto const value = find_header(headers, "keep-alive");
@@ -74,7 +77,8 @@
     unsent_request unsent; ///< waits for the connection
     std::string incomplete_head;
     int exchange_count = 0;
-    int received_heads = 0; ///< of the current exchange, with interim and rejected ones
+    int received_heads = 0;         ///< of the current exchange, with interim and rejected ones
+    std::size_t rejected_bytes = 0; ///< of the bodies of rejected responses in this exchange
     std::optional<body_decoder> decoder;
     std::optional<int> keep_alive_seconds;
     bool is_open = true;
@@ -223,7 +227,9 @@
         if (!is_current(number))
             return false;
     }
-    if (result == parse_result::malformed)
+    if (!is_head_accepted)
+        rejected_bytes += content.size();
+    if (result == parse_result::malformed || rejected_bytes > rejected_body_limit)
     {
         finish(exchange_outcome::malformed);
         return false;
@@ -247,6 +253,7 @@
         return;
     is_active = false;
     received_heads = 0;
+    rejected_bytes = 0;
     decoder.reset();
     incomplete_head.clear();
     if (outcome == exchange_outcome::complete)
--- a/tests/gateway_memory.cpp
+++ b/tests/gateway_memory.cpp
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include "support/endless_responses.hpp"
+#include "support/faulty_server.hpp"
 #include "support/process_memory.hpp"
 #include "support/scripted_fixture.hpp"
 
@@ -204,3 +206,56 @@
     cr_assert(whole.is_complete());
     cr_assert_eq(whole.body, content);
 }
+
+// An upstream sends bytes without end, in a head or in a body, to many requests at once, until the
+// gateway closes. Guards against a gateway that keeps them all and is killed with all its requests.
+Test(gateway_memory, responses_without_end_stay_within_the_memory)
+{
+    std::string const interim = "HTTP/1.1 102 Processing\r\n\r\n";
+    std::string const unrelated = "body of another response";
+    auto responses = endless_responses_without_content();
+    for (auto const& it : endless_bodies())
+        responses.push_back(it);
+    responses.push_back({"interim responses", interim, repeat(interim)});
+    responses.push_back({unrelated, "\r\n", repeat("xxxxxxxx")});
+    gateway_fixture it;
+    endless_response current;
+    faulty_server upstream(
+        it.loop,
+        [&](std::string const& beginning)
+        {
+            auto const id =
+                current.name == unrelated ? "another" : scripted_upstream::request_id(beginning);
+            auto const head = current.begin == interim ? "" : signed_head(id);
+            return faulty_server::reply{head + current.begin, current.repeated};
+        });
+    it.configure(1, 1'000'000);
+    it.store.put(
+        "keyed.servers", "i-1", it.first.registry_entry("models", "ready", upstream.address()));
+    it.wait_until_ready();
+    int request_count = 0;
+    for (auto const& next : responses)
+    {
+        current = next;
+        std::vector<std::shared_ptr<client_response>> clients;
+        for (int n = 0; n < 40; ++n)
+        {
+            std::string const path = n % 2 == 0 ? "/unsafe/x" : "/stream/x";
+            auto const id = "r-" + std::to_string(++request_count);
+            clients.push_back(
+                it.send(it.listen, "POST", path, gateway_fixture::client_headers(id)));
+        }
+        for (auto const& client : clients)
+        {
+            it.run_until([&] { return client->end.has_value(); });
+            cr_assert_not(
+                client->is_complete() && client->head.status == 200, "%s", next.name.c_str());
+        }
+        auto const peak = peak_memory_kb(it.gateway->id());
+        cr_assert_not(it.gateway->try_wait().has_value(), "%s", next.name.c_str());
+        cr_assert_gt(peak, 0);
+        cr_assert_lt(peak, memory_limit_kb, "%s: %ld kB", next.name.c_str(), peak);
+    }
+    it.add(it.first);
+    it.run_until([&] { return it.ask("/unsafe/x", "after").head.status == 200; });
+}
--- a/tests/http1_limits.cpp
+++ b/tests/http1_limits.cpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "support/endless_responses.hpp"
 #include "support/faulty_server.hpp"
 #include "support/http1_fixture.hpp"
 
@@ -248,6 +249,34 @@
     cr_assert(*outcome == exchange_outcome::broken_off);
 }
 
+// A server sends bytes without end that bring nothing to the response. Guards against a connection
+// that reads them as long as they come, which costs the processor time of other requests.
+Test(outbound_connection, bytes_without_end_and_content_are_malformed)
+{
+    auto responses = endless_responses_without_content();
+    responses.push_back({"body of another response", "X-Rejected: 1\r\n\r\n", repeat("xxxxxxxx")});
+    for (auto const& it : responses)
+    {
+        event_loop loop;
+        faulty_server server(
+            loop,
+            [&](std::string const&) {
+                return faulty_server::reply{"HTTP/1.1 200 OK\r\n" + it.begin, it.repeated};
+            });
+        outbound_connection connection(loop, *socket_address::parse(server.address()));
+        std::optional<exchange_outcome> outcome;
+        outbound_connection::exchange_callbacks callbacks;
+        callbacks.on_head = [](response_head const& head)
+        { return !find_header(head.headers, "x-rejected"); };
+        callbacks.on_end = [&](exchange_outcome it) { outcome = it; };
+        connection.send("GET", "GET / HTTP/1.1\r\n\r\n", std::move(callbacks));
+        constexpr duration time_limit{5'000};
+        auto const end = loop.now() + time_limit;
+        loop.run_until([&] { return outcome.has_value() || loop.now() >= end; });
+        cr_assert(outcome == exchange_outcome::malformed, "%s", it.name.c_str());
+    }
+}
+
 // Guards against bytes that overtake a part written without a copy, or replace it.
 Test(byte_stream, bytes_behind_a_shared_part_follow_it)
 {
