Gate: End a running request whose output takes too much memory

Callers could see: the agent is killed with all its calls, if its engine sends events that hold no token, or tokens of megabytes.

Cause: the gate dropped output of finished requests only. For running ones the cap was to bound it, but the cap counts tokens, not bytes.

Evidence: work_gate.output_without_end_is_given_up failed before: the kept output passed its limit and went on growing.

Change: when all kept output exceeds `output_limit_bytes`, a running request that holds more than its part (the limit divided by `slots`) is cancelled and fails; its output is dropped like that of finished requests. Sound requests beside it go on. A frame counts with its own size, which is a multiple of the data of a small event.

--- a/libraries/gate/include/almondcart/gate/work_gate.hpp
+++ b/libraries/gate/include/almondcart/gate/work_gate.hpp
@@ -170,6 +170,7 @@
     work_record* find_call(std::uint64_t call);
     void deliver_to_all(request_id const& request, work_line const& line, std::int64_t number);
     void truncate_output(work_record& record);
+    bool exceeds_output_share(work_record const& record) const;
     void end_record(work_record& record, final_frame last);
     void end_failed(work_record& record, result_code code, std::string_view detail);
     void cancel_call(work_record& record, std::string_view detail);
--- a/libraries/gate/src/work_gate.cpp
+++ b/libraries/gate/src/work_gate.cpp
@@ -253,12 +253,19 @@
     }
     data_frame frame{static_cast<std::int64_t>(record->frames.size()), std::move(data), tokens};
     record->output_tokens += tokens;
-    record->output_bytes += frame.data.size();
-    output_bytes_ += frame.data.size();
+    // Without the frame itself, small events would take a multiple of what is counted.
+    auto const size = sizeof(frame) + frame.data.size();
+    record->output_bytes += size;
+    output_bytes_ += size;
     record->frames.push_back(frame);
     auto const request = record->work.request;
     auto const number = frame.number;
     enforce_output_limit();
+    if (exceeds_output_share(*record))
+    {
+        cancel_call(*record, "the output exceeds the limit for retained output");
+        return;
+    }
     deliver_to_all(request, std::move(frame), number);
 }
 
@@ -302,6 +309,12 @@
         hooks_.cancel_call(call);
 }
 
+bool work_gate::exceeds_output_share(work_record const& record) const
+{
+    auto const share = limits_.output_bytes / static_cast<std::size_t>(std::max(1, limits_.slots));
+    return output_bytes_ > limits_.output_bytes && record.output_bytes > share;
+}
+
 void work_gate::finish(std::uint64_t call, upstream_response response)
 {
     auto* record = find_call(call);
@@ -575,7 +588,7 @@
 }
 
 /// Keeps retained output within its limit by dropping the output of finished requests, acknowledged
-/// ones first, each oldest first. Output of running requests stays; caps and slots bound it.
+/// ones first, each oldest first. Output of running requests stays; `add_output` bounds it.
 void work_gate::enforce_output_limit()
 {
     for (bool const must_be_acknowledged : {true, false})
--- a/tests/gate.cpp
+++ b/tests/gate.cpp
@@ -525,6 +525,38 @@
     cr_assert_eq(fixture.gate.unacknowledged(), 20);
 }
 
+// An upstream produces output without end and without a token, or with large tokens, beside a sound
+// one. The cap counts tokens only. Guards against an agent that keeps all of it and is killed.
+Test(work_gate, output_without_end_is_given_up)
+{
+    constexpr std::size_t limit = 10'000;
+    constexpr int event_count = 1000;
+    work_gate::limits limits;
+    limits.slots = 2;
+    limits.output_bytes = limit;
+    for (bool const is_idempotent : {true, false})
+    {
+        gate_fixture fixture(limits);
+        auto const sound = fixture.serve(create_dispatch("sound"));
+        auto const sound_call = fixture.last_call();
+        auto const endless = fixture.serve(
+            is_idempotent ? create_dispatch("endless") : create_non_idempotent("endless"));
+        auto const endless_call = fixture.last_call();
+        fixture.gate.add_output(sound_call, "a", 1);
+        for (int n = 0; n < event_count; ++n)
+        {
+            fixture.gate.add_output(endless_call, std::string(100, 'x'), 0);
+            cr_assert_leq(fixture.gate.kept_output_bytes(), limit);
+        }
+        cr_assert_eq(fixture.last(endless).code, result_code::upstream_failed);
+        cr_assert(fixture.cancelled.contains(endless_call));
+        fixture.gate.add_output(sound_call, "b", 1);
+        fixture.gate.finish(sound_call, create_response(50, 2));
+        cr_assert_eq(fixture.last(sound).code, result_code::ok);
+        cr_assert_not(fixture.cancelled.contains(sound_call));
+    }
+}
+
 // Guards against a planned stop that interrupts running work or loses usage (I7).
 Test(work_gate, drains_after_work_and_usage)
 {
