Tests: Let the kernel choose the port of the scripted upstream

Seen: gateway_memory.a_client_that_reads_slowly_gets_its_whole_stream failed in 1 of 3 runs of the whole tests today (503 instead of 200), then in 1 of 40 and 1 of 100 runs alone.

Cause, traced: the upstream of the test bound an address that had been probed before, without a check. The bind failed with EADDRINUSE (seen in each of 5 failures of 240 runs, four at a time), the socket then listened on another port, and the gateway was refused. Who holds the port in that moment was not found.

Change: the upstream binds port 0 and reads its address back. No check changes.

--- a/tests/support/scripted_upstream.cpp
+++ b/tests/support/scripted_upstream.cpp
@@ -6,8 +6,6 @@
 
 #include <utility>
 
-#include "tcp.hpp"
-
 namespace almondcart::test_support {
 
 namespace {
@@ -29,12 +27,13 @@
 scripted_upstream::scripted_upstream(event_loop& loop, script script)
     : loop_(loop)
     , script_(std::move(script))
-    , address_(find_free_address())
 {
-    auto const address = *socket_address::parse(address_);
+    // The kernel chooses the port, so that none can be taken between the choice and the bind.
+    auto const any = *socket_address::parse("127.0.0.1:0");
     listener_ = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-    bind(listener_, address.native(), address.size());
+    bind(listener_, any.native(), any.size());
     listen(listener_, SOMAXCONN);
+    address_ = socket_address::of_socket(listener_).to_text();
     watch_ = loop_.watch(listener_, [this] { accept(); });
 }
 
