--- a/review/harness-3.hpp
+++ b/review/harness-3.hpp
@@ -314,20 +314,27 @@
     return out;
 }
 
-/// Returns a listening socket, or -1.
-inline int listen_on(std::string const& address)
+/// Returns a socket that is bound to `address`, or -1.
+inline int bind_to(std::string const& address)
 {
     int const fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     int const on = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     auto const native = socket_address(address);
-    if (bind(fd, reinterpret_cast<sockaddr const*>(&native), sizeof(native)) != 0 ||
-        listen(fd, 512) != 0)
-    {
-        close(fd);
-        return -1;
-    }
-    return fd;
+    if (bind(fd, reinterpret_cast<sockaddr const*>(&native), sizeof(native)) == 0)
+        return fd;
+    close(fd);
+    return -1;
+}
+
+/// Returns a listening socket, or -1.
+inline int listen_on(std::string const& address)
+{
+    int const fd = bind_to(address);
+    if (fd < 0 || listen(fd, 512) == 0)
+        return fd;
+    close(fd);
+    return -1;
 }
 
 inline int port_of(int fd)
@@ -338,28 +345,23 @@
     return ntohs(native.sin_port);
 }
 
-/// Returns "ip:port" with a port that is free on all `hosts`.
+/// Returns a port that is free on all `hosts`. It stays bound until the case ends, so that no
+/// outgoing connection takes it before a process listens there, or while one starts anew.
 inline int find_free_port(std::vector<std::string> const& hosts)
 {
-    static std::set<int> given;
-    for (int n = 0; n < 200; ++n)
+    for (int attempt = 0; attempt < 200; ++attempt)
     {
-        int const first = listen_on(hosts.front() + ":0");
-        int const port = port_of(first);
-        close(first);
-        bool is_free = !given.contains(port);
-        for (auto const& host : hosts)
+        std::vector<int> bound{bind_to(hosts.front() + ":0")};
+        auto const port = port_of(bound.front());
+        for (std::size_t i = 1; i < hosts.size(); ++i)
+            bound.push_back(bind_to(hosts[i] + ":" + std::to_string(port)));
+        if (std::ranges::find(bound, -1) == bound.end())
+            return port;
+        for (int const fd : bound)
         {
-            int const fd = listen_on(host + ":" + std::to_string(port));
-            is_free = is_free && fd >= 0;
             if (fd >= 0)
                 close(fd);
         }
-        if (is_free)
-        {
-            given.insert(port);
-            return port;
-        }
     }
     return 0;
 }
