Review: Show a crashing part whose id does not fit 64 bits

Cause: the codec reads part ids into 64 bits and drops the first that does not fit and all parts behind it, so the quarantine never sees them.

--- a/review/crash-part-3.hpp
+++ b/review/crash-part-3.hpp
@@ -15,6 +15,9 @@
     /// Whether a replica has written the first event of its answer when it crashes.
     bool has_first_event = false;
 
+    /// The part that crashes replicas, as the clients write it in `X-Almondcart-Prompt-Prefix`.
+    std::string bad_part = "bad0:500";
+
     std::int64_t run_ms = 40'000;
 };
 
@@ -64,7 +67,6 @@
     static constexpr int event_count = 17;
     static constexpr int sound_clients = 10;
     static constexpr int bad_clients = 2;
-    static constexpr char const* bad_part = "bad0:500";
 
     static std::vector<std::string> hosts()
     {
@@ -103,8 +105,8 @@
     bool answer(replica_slot& slot, int fd, message const& request, std::string const& id)
     {
         auto const name = request.header("x-almondcart-request-id");
-        bool const is_bad =
-            request.header("x-almondcart-prompt-prefix").find(bad_part) != std::string::npos;
+        bool const is_bad = request.header("x-almondcart-prompt-prefix").find(options_.bad_part) !=
+                            std::string::npos;
         record_("replica %s runs %s", id.c_str(), name.c_str());
         if (is_bad)
         {
@@ -160,7 +162,7 @@
         request.output_tokens = 4 * event_count;
         request.body = "question " + std::to_string(n);
         // The beginning is shared by all, the last part belongs to the request.
-        request.prefix = std::string("a1:2000,") + (is_bad ? bad_part : "c2:500") + ",f" +
+        request.prefix = std::string("a1:2000,") + (is_bad ? options_.bad_part : "c2:500") + ",f" +
                          std::to_string(n) + ":500";
         auto const response = exchange(all_.settings[gateway].listen, request.text(), 7'000);
         record_(
